--- /dev/null
+++ b/crates/core/src/control.rs
@@ -0,0 +1,796 @@
+//! All decisions of a front: which cache gets a lookup, from where it fills, what is kept, when another send
+//! goes out, and when the front gives up.
+//!
+//! A host calls [`Front::start`] once and then [`Front::hear`] for each event, in order, with its clock; what
+//! is to be done is pushed onto `out`, in order. The types are in `interface.rs`. Nothing is read but the
+//! events and the settings, so the same events bring the same actions.
+//!
+//! Inside, the desk (lookups) and the peers (caches, parents, origin) are actors: each has an inbox, and one
+//! loop ([`Front::pump`]) empties them. A send is a [`Bid`]: the desk plans it, the source's guard passes it,
+//! then the cache's guard, and only that emits it ([`Peer::carry`]). All final answers leave by [`Desk::end`].
+
+use crate::interface::*;
+use crate::room::{Memory, Rate, Room, Rules, Smooth};
+use std::collections::BTreeMap;
+
+const SEC: Micros = 1_000_000;
+/// Names the ring after which discovery is asked again; no lookup has this id.
+const ASK_AGAIN: u32 = u32::MAX;
+/// Tail drop factor, and how long the estimate of a length and the sight of a part last (design page).
+const NU: f64 = 0.6;
+const LENGTH_LIFE: Micros = 300 * SEC;
+const REPEAT_WINDOW: Micros = 10 * SEC;
+/// Rank of all that is kept; only one is used.
+const RANK: u8 = 1;
+/// Weight of a new sample in all smoothed figures, and how fast an idle one drifts to the average.
+const SMOOTHING: f64 = 0.2;
+const DRIFT: f64 = 10.0 * SEC as f64;
+/// Entries that any memory of objects may hold.
+const MEMORY: usize = 50_000;
+/// Extra sends earned by a first send, and how many can be saved up.
+const EXTRA_EARNED: f64 = 0.2;
+const EXTRA_SAVED: f64 = 20.0;
+/// A peer that fails this share of what it gets, or a cache so many times slower than the median of its
+/// location, is passed by, but for a few trials.
+const FAILING: f64 = 0.25;
+const SLOW: f64 = 2.5;
+const TRIAL: f64 = 0.04;
+/// Part of a cold machine's allowance that this front uses, and of it the part that may go out at once.
+const COLD_USE: f64 = 0.7;
+const COLD_BURST: f64 = 0.3;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Role {
+    Cache,
+    Parent,
+    Origin,
+    Foreign,
+}
+
+/// A send on its way through the guards.
+#[derive(Clone, Copy, Debug)]
+struct Bid {
+    lk: u32,
+    cache: PeerIx,
+    fill: Option<Fill>,
+    time_out: Micros,
+    /// Work that it brings to the cache, and its likely part for the source.
+    work: f64,
+    fill_work: f64,
+    /// What a peer of the cache's and the source's tier carries for this front, in work a second.
+    norm: f64,
+    fill_norm: f64,
+}
+
+/// What a peer posts of itself: all that the desk knows when it chooses.
+#[derive(Clone, Copy, Debug)]
+struct Card {
+    role: Role,
+    stable: u64,
+    zone: usize,
+    weight: f64,
+    open: bool,
+    failing: Smooth,
+    first_byte: Smooth,
+    latency: Smooth,
+    pace: Smooth,
+    carried: Rate,
+}
+
+#[derive(Clone, Debug)]
+enum Note {
+    Listed(Entry),
+    Unlisted,
+    Lend(Bid),
+    Carry(Bid),
+    /// To the cache that a send went to.
+    Done {
+        blame: Option<f64>,
+        pace: Option<f64>,
+        work: f64,
+    },
+    /// To the source that it named.
+    Gave {
+        blame: Option<f64>,
+        first_byte: Option<Micros>,
+        took: Micros,
+        work: f64,
+    },
+    /// To the desk.
+    Posted(PeerIx, Card),
+    Sent(Bid),
+    Turned(Bid, PeerIx),
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Rendezvous hashing over stable ids, without seed: fronts with the same list choose alike, and a list that
+/// is late at one of them moves only the objects of the machines that differ.
+fn draw(stable: u64, weight: f64, object: u64, part: u64) -> f64 {
+    let h = mix(stable ^ mix(object ^ mix(part.wrapping_add(0x9e37_79b9_7f4a_7c15))));
+    let unit = ((h >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    -weight / unit.ln()
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Repeat {
+    Idempotent,
+    Deduplicated,
+    SideEffecting,
+}
+
+/// What is told of an object kind, and the mean of what its lookups bring in work.
+struct Kind {
+    repeat: Repeat,
+    group: String,
+    window: Micros,
+    budget: Micros,
+    stretch: f64,
+    fresh: Micros,
+    uncacheable: bool,
+    work: f64,
+    seen: f64,
+}
+
+impl Kind {
+    fn read(rules: &Rules, k: usize) -> Kind {
+        let name = |what: &str| format!("classes.{k}.{what}");
+        let budget = rules.span(&name("goal_time_s"), 1.0);
+        Kind {
+            repeat: match rules.text(&name("repeat")) {
+                "safe" => Repeat::Idempotent,
+                "keyed" => Repeat::Deduplicated,
+                _ => Repeat::SideEffecting,
+            },
+            group: rules.text(&name("group")).to_string(),
+            window: rules.span(&name("key_ttl_s"), 0.0),
+            budget,
+            stretch: rules.num(&name("aim_stretch"), 0.0),
+            fresh: (rules.item_num("specifics.max_age_s", k) * SEC as f64) as Micros,
+            uncacheable: rules.item("specifics.goes_through", k) == "true",
+            // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
+            work: budget as f64,
+            seen: 1.0,
+        }
+    }
+
+    fn learn(&mut self, work: f64) {
+        self.work += (work - self.work) / self.seen;
+        self.seen = (self.seen + 1.0).min(500.0);
+    }
+}
+
+struct Peer {
+    ix: PeerIx,
+    card: Card,
+    since: Micros,
+    /// Work let in while cold that time has not worked off yet.
+    level: f64,
+    level_at: Micros,
+}
+
+impl Peer {
+    fn new(ix: PeerIx) -> Peer {
+        let card = Card {
+            role: Role::Foreign,
+            stable: 0,
+            zone: 0,
+            weight: 1.0,
+            open: false,
+            failing: Smooth::default(),
+            first_byte: Smooth::default(),
+            latency: Smooth::default(),
+            pace: Smooth::default(),
+            carried: Rate::default(),
+        };
+        Peer { ix, card, since: 0, level: 0.0, level_at: 0 }
+    }
+
+    fn read(&mut self, note: Note, room: &mut Room<Note>) {
+        let now = room.now;
+        match note {
+            Note::Listed(entry) => self.listed(entry, room),
+            Note::Unlisted => self.card.open = false,
+            Note::Lend(bid) => {
+                let passed = self.admits(room, bid.fill_work, bid.fill_norm);
+                match passed {
+                    true => room.tell(bid.cache, Note::Carry(bid)),
+                    false => room.tell_desk(Note::Turned(bid, self.ix)),
+                }
+                return;
+            }
+            Note::Carry(bid) => return self.carry(bid, room),
+            Note::Done { blame, pace, work } => {
+                if let Some(blame) = blame {
+                    self.card.failing.add(now, blame, SMOOTHING);
+                }
+                if let Some(pace) = pace {
+                    self.card.pace.add(now, pace, SMOOTHING);
+                }
+                self.card.carried.add(now, work, DRIFT);
+            }
+            Note::Gave { blame, first_byte, took, work } => {
+                if let Some(blame) = blame {
+                    self.card.failing.add(now, blame, SMOOTHING);
+                }
+                if let Some(first_byte) = first_byte {
+                    self.card.first_byte.add(now, first_byte as f64, SMOOTHING);
+                }
+                self.card.latency.add(now, took as f64, SMOOTHING);
+                self.card.carried.add(now, work, DRIFT);
+            }
+            Note::Posted(..) | Note::Sent(_) | Note::Turned(..) => return,
+        }
+        room.tell_desk(Note::Posted(self.ix, self.card));
+    }
+
+    fn listed(&mut self, entry: Entry, room: &Room<Note>) {
+        let machine = f64::from(entry.machine);
+        let card = &mut self.card;
+        card.role = if machine == room.rules.num("specifics.origin_kind", -1.0) {
+            Role::Origin
+        } else if machine == room.rules.num("specifics.second_tier_kind", -1.0) {
+            Role::Parent
+        } else if f64::from(entry.zone) == room.rules.num("locality", 0.0) {
+            Role::Cache
+        } else {
+            Role::Foreign
+        };
+        if entry.since != self.since {
+            // What was seen of the process before says nothing of the new one.
+            *card = Card { failing: Smooth::default(), pace: Smooth::default(), ..*card };
+            (self.level, self.level_at) = (0.0, room.now);
+        }
+        self.since = entry.since;
+        card.stable = entry.stable;
+        card.zone = usize::from(entry.zone);
+        card.weight = if room.rules.text("weight_kind") == "off" { 1.0 } else { entry.weight.max(0.01) };
+        card.open = entry.standing == Standing::Ready;
+    }
+
+    /// The only place from which sends go out. Guards rules 3 and 4 for the cache; [`Note::Lend`] has done
+    /// so for the source.
+    fn carry(&mut self, bid: Bid, room: &mut Room<Note>) {
+        if !self.admits(room, bid.work, bid.norm) {
+            return room.tell_desk(Note::Turned(bid, self.ix));
+        }
+        room.out.push(Action::Send { id: bid.lk, peer: self.ix, time_out: bid.time_out, fill: bid.fill });
+        room.tell_desk(Note::Sent(bid));
+    }
+
+    /// Rules 3 and 4: nothing for what drains or is gone, and for a cold machine no more than this front's
+    /// share of what it bears on the slowest ramp. The share of a front is what it brings to the others of
+    /// the tier anyway, or its part of the machine's told size (one transfer where none is told): fronts
+    /// that bring little take little, so all together stay under the limit without a word between them.
+    fn admits(&mut self, room: &Room<Note>, work: f64, norm: f64) -> bool {
+        let rules = &room.rules;
+        if !self.card.open {
+            return false;
+        }
+        let (from, warm, factor, fronts) = match self.card.role {
+            Role::Cache | Role::Foreign => (
+                rules.num("guarantees.cold_from", 0.1),
+                rules.span("guarantees.warm_after_s", 30.0),
+                rules.num("guarantees.overload_factor", 2.0),
+                rules.item_num("specifics.zone_balancers", self.card.zone),
+            ),
+            Role::Parent => (
+                rules.num("specifics.upper_cold_from", 0.05),
+                rules.span("specifics.parent_warms_in_s", 30.0),
+                rules.num("specifics.parent_fall_multiple", 2.0),
+                rules.num("balancers", 1.0),
+            ),
+            Role::Origin => return true,
+        };
+        let up = (room.now - self.since).max(0);
+        if self.since <= 0 || up >= warm {
+            return true;
+        }
+        let share = from + (1.0 - from) * up as f64 / warm as f64;
+        let norm = norm.max(self.card.weight * SEC as f64 / fronts.max(1.0));
+        let rate = factor * share * norm * COLD_USE / SEC as f64;
+        let window = rate * rules.span("guarantees.overload_for_s", 1.0) as f64;
+        self.level = (self.level - rate * (room.now - self.level_at) as f64).max(0.0);
+        self.level_at = room.now;
+        let fits = self.level + work <= window * COLD_BURST || (self.level == 0.0 && work <= window);
+        if fits {
+            self.level += work;
+        }
+        fits
+    }
+}
+
+/// A lookup while the front owes its answer, and until the last of its sends is heard of.
+struct Held {
+    lk: Lookup,
+    keep: u8,
+    ended: bool,
+    began: bool,
+    sends: Vec<Sent>,
+    /// Peers that turned a bid away before it was sent.
+    turned: Vec<PeerIx>,
+}
+
+struct Sent {
+    peer: PeerIx,
+    source: Option<PeerIx>,
+    at: Micros,
+    out: bool,
+    may_have_run: bool,
+    cache_failed: bool,
+    source_failed: bool,
+}
+
+/// The lookups, and all that the instance remembers of objects and purges.
+struct Desk {
+    cards: Vec<Card>,
+    kinds: Vec<Kind>,
+    lookups: BTreeMap<u32, Held>,
+    extra: f64,
+    lengths: Memory<u64, u32>,
+    asked: Memory<(u64, u32), ()>,
+    purged: Memory<(Option<u64>, u32), Micros>,
+    /// Share of sends that a source had to fill.
+    filled: Smooth,
+}
+
+impl Desk {
+    fn read(&mut self, note: Note, room: &mut Room<Note>) {
+        match note {
+            Note::Posted(ix, card) => {
+                while self.cards.len() <= ix {
+                    self.cards.push(Peer::new(ix).card);
+                }
+                self.cards[ix] = card;
+            }
+            Note::Sent(bid) => self.sent(bid, room),
+            Note::Turned(bid, by) => {
+                if let Some(held) = self.lookups.get_mut(&bid.lk) {
+                    held.turned.push(by);
+                    self.plan(bid.lk, room);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn asked(&mut self, lk: Lookup, room: &mut Room<Note>) {
+        let keep = self.rank(&lk, room.now);
+        if lk.size_kb > 0.0 {
+            let work = self.own_work(&lk, room);
+            if let Some(kind) = self.kinds.get_mut(lk.kind) {
+                kind.learn(work);
+            }
+        }
+        let held = Held { lk, keep, ended: false, began: false, sends: Vec::new(), turned: Vec::new() };
+        self.lookups.insert(lk.id, held);
+        self.extra = (self.extra + EXTRA_EARNED).min(EXTRA_SAVED);
+        self.plan(lk.id, room);
+    }
+
+    /// The design's tail cut: 0 for what passes through unkept, else the rank.
+    fn rank(&mut self, lk: &Lookup, now: Micros) -> u8 {
+        let highest = self.lengths.get(now, lk.object).unwrap_or(0).max(lk.part);
+        self.lengths.put(now, lk.object, highest);
+        let again = self.asked.get(now, (lk.object, lk.part)).is_some();
+        self.asked.put(now, (lk.object, lk.part), ());
+        let tail = f64::from(lk.part) >= NU * f64::from(highest + 1);
+        if tail && !again {
+            0
+        } else {
+            RANK
+        }
+    }
+
+    /// What a lookup takes at a client's full pace: by its size, or by its kind's mean where none is told.
+    fn own_work(&self, lk: &Lookup, room: &Room<Note>) -> f64 {
+        let flow = room.rules.num("specifics.flow_kb_per_s", 0.0);
+        if lk.size_kb > 0.0 && flow > 0.0 {
+            return lk.size_kb / flow * SEC as f64;
+        }
+        self.kinds.get(lk.kind).map_or(SEC as f64, |k| k.work)
+    }
+
+    /// Rule 5: how old a copy may be, 0 for any that the kind allows.
+    fn age(&self, lk: &Lookup, now: Micros) -> Micros {
+        let one = self.purged.get(now, (Some(lk.object), 0));
+        let all = self.purged.get(now, (None, lk.group));
+        let fresh = self.kinds.get(lk.kind).map_or(0, |k| k.fresh);
+        match one.max(all) {
+            // 0 would mean the default.
+            Some(at) if fresh > 0 => (now - at).clamp(1, fresh),
+            Some(at) => (now - at).max(1),
+            None => 0,
+        }
+    }
+
+    fn average(&self, role: Role, figure: impl Fn(&Card) -> Option<f64>) -> Option<f64> {
+        let of_role = self.cards.iter().filter(|c| c.role == role && c.open);
+        let heard: Vec<f64> = of_role.filter_map(figure).collect();
+        (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64)
+    }
+
+    fn pace_median(&self, now: Micros) -> f64 {
+        let caches = self.cards.iter().filter(|c| c.role == Role::Cache && c.open);
+        let mut paces: Vec<f64> = caches.map(|c| c.pace.drifted(now, 1.0, DRIFT)).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get((paces.len().max(1) - 1) / 2).copied().unwrap_or(1.0)
+    }
+
+    /// Passed by: fails or drags, whatever the cause, and is not on trial just now.
+    fn shunned(&self, ix: PeerIx, room: &mut Room<Note>) -> bool {
+        let card = &self.cards[ix];
+        let fails = card.failing.drifted(room.now, 0.0, DRIFT) > FAILING;
+        let drags = card.role == Role::Cache
+            && card.pace.drifted(room.now, 1.0, DRIFT) > SLOW * self.pace_median(room.now).max(1.0);
+        (fails || drags) && !room.chance(TRIAL)
+    }
+
+    /// Peers of a role that the lookup may still try, best first by the hash.
+    fn order(&self, held: &Held, role: Role, part: u64) -> Vec<PeerIx> {
+        let spent = |ix: PeerIx| {
+            held.turned.contains(&ix)
+                || held.sends.iter().any(|s| {
+                    (s.peer == ix && (s.out || s.cache_failed)) || (s.source == Some(ix) && s.source_failed)
+                })
+        };
+        let fits = |ix: &PeerIx| self.cards[*ix].role == role && self.cards[*ix].open && !spent(*ix);
+        let mut all: Vec<PeerIx> = (0..self.cards.len()).filter(fits).collect();
+        let score = |ix: PeerIx| {
+            let weight = if role == Role::Cache { self.cards[ix].weight } else { 1.0 };
+            draw(self.cards[ix].stable, weight, held.lk.object, part)
+        };
+        all.sort_by(|a, b| score(*b).total_cmp(&score(*a)));
+        all
+    }
+
+    /// The design's companion: of two parents by the object's hash the one with the lower figure.
+    fn source(&self, held: &Held, room: &mut Room<Note>) -> Option<PeerIx> {
+        let origin = self.order(held, Role::Origin, 0).first().copied();
+        let all = self.order(held, Role::Parent, 0);
+        let up: Vec<PeerIx> = all.iter().copied().filter(|ix| !self.shunned(*ix, room)).take(2).collect();
+        let bytes = up.iter().all(|ix| self.cards[*ix].first_byte.value.is_some());
+        let figure = |c: &Card| if bytes { c.first_byte } else { c.latency };
+        let average = self.average(Role::Parent, |c| figure(c).value).unwrap_or(0.0);
+        let seen = |ix: &PeerIx| figure(&self.cards[*ix]).drifted(room.now, average, DRIFT);
+        up.iter().copied().min_by(|a, b| seen(a).total_cmp(&seen(b))).or(origin).or(all.first().copied())
+    }
+
+    /// Chooses cache and source for the next send of a lookup, or gives it up.
+    fn plan(&mut self, id: u32, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get(&id).filter(|h| !h.ended && !h.began) else {
+            return;
+        };
+        let (lk, now) = (held.lk, room.now);
+        let left = lk.expires - now;
+        let cap = room.rules.num("limits.send_cap", 4.0) as usize;
+        if left <= 0 || held.sends.len() >= cap || !self.may_send(held, room) {
+            return self.give_up(id, room);
+        }
+        let direct = room.rules.is("specifics.pass_through_ok");
+        let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
+        let source = match uncacheable {
+            true => self.order(held, Role::Origin, 0).first().copied().or_else(|| self.source(held, room)),
+            false => self.source(held, room),
+        };
+        let caches = self.order(held, Role::Cache, u64::from(lk.part));
+        let sound = caches.iter().copied().find(|ix| !self.shunned(*ix, room));
+        let cache = match sound.or(caches.first().copied()) {
+            Some(cache) if !(uncacheable && direct) => Some(cache),
+            // Past the caches only where none is left for it, or none would keep it anyway.
+            _ if direct => source,
+            _ => None,
+        };
+        let Some(cache) = cache else {
+            return self.give_up(id, room);
+        };
+        let fill = source.map(|source| Fill {
+            source,
+            keep: if uncacheable { 0 } else { held.keep },
+            age: self.age(&lk, now),
+            join: room.rules.is("specifics.shares_fills") && !uncacheable,
+            renew: self.kinds.get(lk.kind).is_some_and(|k| k.fresh > 0),
+        });
+        let last = held.sends.len() + 1 >= cap || room.rules.is("limits.may_duplicate");
+        let work = self.kinds.get(lk.kind).map_or(SEC as f64, |k| k.work);
+        let norm = |role| self.average(role, |c| Some(c.carried.value(now, DRIFT))).unwrap_or(0.0);
+        let bid = Bid {
+            lk: id,
+            cache,
+            // With no source to ask, nothing is filled; the age still binds.
+            fill: Some(fill.unwrap_or(Fill {
+                source: cache,
+                keep: 0,
+                age: self.age(&lk, now),
+                join: false,
+                renew: false,
+            })),
+            time_out: if last { left } else { left * 6 / 10 },
+            work,
+            fill_work: work * (2.0 * self.filled.drifted(now, 1.0, DRIFT)).min(1.0),
+            norm: norm(self.cards[cache].role),
+            fill_norm: norm(Role::Parent),
+        };
+        match fill.filter(|f| f.source != cache) {
+            Some(fill) => room.tell(fill.source, Note::Lend(bid)),
+            None => room.tell(cache, Note::Carry(bid)),
+        }
+    }
+
+    /// Rule 2, and no two sends at once where that is not allowed.
+    fn may_send(&self, held: &Held, room: &Room<Note>) -> bool {
+        let out = held.sends.iter().any(|s| s.out);
+        if out && !room.rules.is("limits.may_duplicate") {
+            return false;
+        }
+        let Some(first) = held.sends.iter().find(|s| s.may_have_run) else {
+            return true;
+        };
+        let Some(kind) = self.kinds.get(held.lk.kind) else {
+            return false;
+        };
+        match kind.repeat {
+            Repeat::Idempotent => true,
+            // Nearer groups than all would need a cache of the same group; the front does without.
+            Repeat::Deduplicated => kind.group == "all" && room.now < first.at + kind.window && !out,
+            Repeat::SideEffecting => false,
+        }
+    }
+
+    fn sent(&mut self, bid: Bid, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get_mut(&bid.lk) else {
+            return;
+        };
+        let source = bid.fill.map(|f| f.source).filter(|s| *s != bid.cache);
+        held.sends.push(Sent {
+            peer: bid.cache,
+            source,
+            at: room.now,
+            out: true,
+            may_have_run: true,
+            cache_failed: false,
+            source_failed: false,
+        });
+        let (first, lk) = (held.sends.len() == 1, held.lk);
+        let Some(kind) = self.kinds.get(lk.kind) else {
+            return;
+        };
+        if first && room.rules.is("limits.may_duplicate") && kind.repeat == Repeat::Idempotent {
+            // A second copy goes out while it can still come within the latency budget.
+            let own = self.own_work(&lk, room);
+            let budget = kind.budget as f64 + kind.stretch * own;
+            let at = room.now + (budget - own - 0.3 * kind.budget as f64) as Micros;
+            if at < lk.expires {
+                room.out.push(Action::Ring { at, token: lk.id });
+            }
+        }
+    }
+
+    fn rang(&mut self, id: u32, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get(&id) else { return };
+        if !held.ended
+            && !held.began
+            && held.sends.len() == 1
+            && self.extra >= 1.0
+            && self.may_send(held, room)
+        {
+            self.extra -= 1.0;
+            self.plan(id, room);
+        }
+    }
+
+    fn began(&mut self, id: u32) {
+        if let Some(held) = self.lookups.get_mut(&id) {
+            held.began = true;
+        }
+    }
+
+    fn left(&mut self, id: u32, room: &mut Room<Note>) {
+        if let Some(held) = self.lookups.get_mut(&id) {
+            held.ended = true;
+            self.close(id, room);
+        }
+    }
+
+    /// Calls back what is still out of an ended lookup, and forgets it once nothing is.
+    fn close(&mut self, id: u32, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get(&id) else { return };
+        let out = (0u8..).zip(&held.sends).filter(|(_, s)| s.out);
+        if room.rules.is("limits.cancel") && !held.began {
+            room.out.extend(out.clone().map(|(send, _)| Action::Cancel { id, send }));
+        }
+        if out.count() == 0 {
+            self.lookups.remove(&id);
+        }
+    }
+
+    /// The only place from which the front answers. At once, whatever time is left: the client does better
+    /// elsewhere or later.
+    fn give_up(&mut self, id: u32, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get_mut(&id).filter(|h| !h.ended) else {
+            return;
+        };
+        // Another send may still satisfy it.
+        if held.sends.iter().any(|s| s.out) && held.lk.expires > room.now {
+            return;
+        }
+        held.ended = true;
+        let ran = held.sends.iter().any(|s| s.may_have_run);
+        let harmless = !ran
+            || self.kinds.get(held.lk.kind).is_some_and(|k| match k.repeat {
+                Repeat::Idempotent => true,
+                Repeat::Deduplicated => k.group == "all",
+                Repeat::SideEffecting => false,
+            });
+        let most = room.rules.span("limits.max_retry_after_s", 0.0);
+        let come_back = if room.rules.is("limits.retry_after") { most.min(SEC / 2) } else { 0 };
+        room.out.push(if harmless { Action::Nack { id, come_back } } else { Action::Fail { id } });
+        self.close(id, room);
+    }
+
+    fn ended(&mut self, o: Outcome, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get_mut(&o.id) else {
+            return;
+        };
+        let (lk, ended) = (held.lk, held.ended);
+        let Some(send) = held.sends.get_mut(usize::from(o.send)).filter(|s| s.out) else {
+            return;
+        };
+        send.out = false;
+        let unproven =
+            [Ending::Satisfied, Ending::Error, Ending::TimedOut, Ending::Broken, Ending::Cancelled];
+        send.may_have_run = unproven.contains(&o.ending);
+        let upstream = matches!(o.remark, Remark::SourceRefused | Remark::SourceLost | Remark::OriginFailed);
+        let told = room.rules.text("specifics.says") == "all";
+        // A whole strike for the one at fault where that is told, half for either where it is not.
+        let (cache, source) = match o.ending {
+            Ending::Satisfied => (Some(0.0), Some(0.0)),
+            _ if upstream => (None, Some(f64::from(u8::from(o.remark != Remark::OriginFailed)))),
+            Ending::Error | Ending::Unconnected | Ending::Broken => (Some(1.0), None),
+            Ending::TurnedAway if o.remark == Remark::NoPlace => (None, None),
+            Ending::TurnedAway if told => (Some(1.0), None),
+            Ending::TimedOut | Ending::TurnedAway => (Some(0.5), Some(0.5)),
+            Ending::Cancelled | Ending::Moot | Ending::Miss => (None, None),
+        };
+        send.cache_failed = !upstream && o.ending != Ending::Satisfied;
+        send.source_failed = source.is_some_and(|s| s > 0.0) || o.ending == Ending::Miss;
+        let (at, source_ix) = (send.at, send.source);
+        let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
+        let own = self.own_work(&lk, room);
+        if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 {
+            if let Some(kind) = self.kinds.get_mut(lk.kind) {
+                kind.learn(o.took as f64);
+            }
+        }
+        let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
+        let satisfied = o.ending == Ending::Satisfied;
+        let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
+        if satisfied && told && !uncacheable {
+            self.filled.add(room.now, f64::from(u8::from(filled)), SMOOTHING);
+        }
+        // Fills wait for others; only what the cache held itself tells of its own pace.
+        let own_pace = satisfied && !filled && !uncacheable;
+        let pace = own_pace.then(|| (o.took as f64 / (own + 0.02 * SEC as f64)).min(20.0));
+        let carried = if satisfied { work } else { 0.0 };
+        room.tell(o.peer, Note::Done { blame: cache.filter(|_| !uncacheable), pace, work: carried });
+        if let Some(ix) = source_ix {
+            let part = if !told || filled { carried } else { 0.0 };
+            let took = (o.took).max(room.now - at);
+            let heard = matches!(o.ending, Ending::Satisfied | Ending::TimedOut) || upstream;
+            if heard && !(told && satisfied && !filled) {
+                let first_byte = if o.ending == Ending::TimedOut { Some(took) } else { o.first_byte };
+                room.tell(ix, Note::Gave { blame: source, first_byte, took, work: part });
+            }
+        }
+        if o.finished || ended {
+            self.left(o.id, room);
+        } else if !self.lookups.get(&o.id).is_some_and(|h| h.sends.iter().any(|s| s.out)) {
+            self.again(o.id, room);
+        }
+    }
+
+    /// Extra sends are earned by first ones, so that retries cannot feed an overload.
+    fn again(&mut self, id: u32, room: &mut Room<Note>) {
+        if self.extra < 1.0 {
+            return self.give_up(id, room);
+        }
+        self.extra -= 1.0;
+        self.plan(id, room);
+    }
+}
+
+/// One instance of the decisions.
+pub struct Front {
+    desk: Desk,
+    peers: Vec<Peer>,
+    room: Room<Note>,
+}
+
+impl Front {
+    pub fn start(seed: u64, settings: Settings, now: Micros, out: &mut Vec<Action>) -> Front {
+        let rules = Rules(settings);
+        if rules.text("registry_mode") == "on_request" {
+            out.push(Action::Subscribe);
+        }
+        let desk = Desk {
+            cards: Vec::new(),
+            kinds: (0..rules.num("classes.count", 0.0) as usize).map(|k| Kind::read(&rules, k)).collect(),
+            lookups: BTreeMap::new(),
+            extra: EXTRA_SAVED,
+            lengths: Memory::new(LENGTH_LIFE, MEMORY),
+            asked: Memory::new(REPEAT_WINDOW, MEMORY),
+            // A second more than told: a fill that began before may still bring an old copy.
+            purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
+            filled: Smooth::default(),
+        };
+        Front { desk, peers: Vec::new(), room: Room::new(now, rules.0, seed) }
+    }
+
+    pub fn hear(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        let (desk, room) = (&mut self.desk, &mut self.room);
+        room.now = now;
+        match event {
+            Event::Listed(listing) => self.listed(listing),
+            Event::Asked(lk) => desk.asked(lk, room),
+            Event::Began { id } => desk.began(id),
+            Event::Ended(outcome) => desk.ended(outcome, room),
+            Event::Left { id } => desk.left(id, room),
+            Event::Rang { token } => self.rang(token),
+            Event::Purged { object, group, ago } => {
+                let name = (object, if object.is_some() { 0 } else { group });
+                let last = desk.purged.get(now, name).unwrap_or(Micros::MIN);
+                desk.purged.put(now, name, last.max(now - ago));
+            }
+            Event::Probed { .. } | Event::Heard { .. } => {}
+        }
+        self.pump();
+        out.append(&mut self.room.out);
+    }
+
+    /// The one loop that empties the inboxes.
+    fn pump(&mut self) {
+        while let Some((to, note)) = self.room.next() {
+            let Some(ix) = to else {
+                self.desk.read(note, &mut self.room);
+                continue;
+            };
+            while self.peers.len() <= ix {
+                self.peers.push(Peer::new(self.peers.len()));
+            }
+            self.peers[ix].read(note, &mut self.room);
+        }
+    }
+
+    fn rang(&mut self, token: u32) {
+        if token == ASK_AGAIN {
+            self.room.out.push(Action::Subscribe);
+        } else {
+            self.desk.rang(token, &mut self.room);
+        }
+    }
+
+    fn listed(&mut self, listing: Listing) {
+        let entries = match listing {
+            Listing::Full(entries) => {
+                for ix in (0..self.peers.len()).filter(|ix| entries.iter().all(|e| e.peer != *ix)) {
+                    self.room.tell(ix, Note::Unlisted);
+                }
+                entries
+            }
+            Listing::Delta(entries) => entries,
+            Listing::Failed => {
+                if self.room.rules.text("registry_mode") == "on_request" {
+                    self.room.out.push(Action::Ring { at: self.room.now + SEC, token: ASK_AGAIN });
+                }
+                return;
+            }
+        };
+        for entry in entries {
+            self.room.tell(entry.peer, Note::Listed(entry));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/room.rs
@@ -0,0 +1,153 @@
+//! State and helpers of the decision module, with no decision and no tuned value of their own.
+
+use crate::interface::{Action, Micros, PeerIx, Settings};
+use std::collections::{HashMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+const SEC: Micros = 1_000_000;
+
+/// A smoothed figure; none until something was heard.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Smooth {
+    pub value: Option<f64>,
+    at: Micros,
+}
+
+impl Smooth {
+    pub fn add(&mut self, now: Micros, sample: f64, weight: f64) {
+        self.value = Some(self.value.map_or(sample, |v| v + weight * (sample - v)));
+        self.at = now;
+    }
+
+    /// Guards against a peer that is never tried again for what it once was.
+    pub fn drifted(&self, now: Micros, average: f64, drift: f64) -> f64 {
+        let idle = (now - self.at) as f64;
+        self.value.map_or(average, |v| average + (v - average) * (-idle / drift).exp())
+    }
+}
+
+/// Work a second, over the last while.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rate {
+    sum: f64,
+    at: Micros,
+}
+
+impl Rate {
+    pub fn add(&mut self, now: Micros, work: f64, drift: f64) {
+        self.sum = self.value(now, drift) * drift / SEC as f64 + work;
+        self.at = now;
+    }
+
+    pub fn value(&self, now: Micros, drift: f64) -> f64 {
+        self.sum * (-((now - self.at) as f64) / drift).exp() * SEC as f64 / drift
+    }
+}
+
+pub struct Rules(pub Settings);
+
+impl Rules {
+    pub fn text(&self, name: &str) -> &str {
+        self.0.get(name).map_or("", String::as_str)
+    }
+
+    pub fn num(&self, name: &str, default: f64) -> f64 {
+        self.text(name).parse().ok().filter(|v: &f64| v.is_finite()).unwrap_or(default)
+    }
+
+    pub fn span(&self, name: &str, default: f64) -> Micros {
+        (self.num(name, default) * SEC as f64) as Micros
+    }
+
+    pub fn is(&self, name: &str) -> bool {
+        self.text(name) == "true"
+    }
+
+    pub fn item(&self, name: &str, place: usize) -> &str {
+        self.text(name).split(',').nth(place).unwrap_or("")
+    }
+
+    pub fn item_num(&self, name: &str, place: usize) -> f64 {
+        self.item(name, place).parse().unwrap_or(0.0)
+    }
+}
+
+/// A memory that is bounded by age and by number, oldest out first.
+pub struct Memory<K, V> {
+    known: HashMap<K, (Micros, V)>,
+    order: VecDeque<(Micros, K)>,
+    life: Micros,
+    most: usize,
+}
+
+impl<K: Copy + Eq + Hash, V: Copy> Memory<K, V> {
+    pub fn new(life: Micros, most: usize) -> Self {
+        Memory { known: HashMap::new(), order: VecDeque::new(), life, most }
+    }
+
+    pub fn put(&mut self, now: Micros, key: K, value: V) {
+        self.known.insert(key, (now, value));
+        self.order.push_back((now, key));
+        while self.order.front().is_some_and(|f| f.0 + self.life < now) || self.order.len() > self.most {
+            let Some((at, old)) = self.order.pop_front() else {
+                break;
+            };
+            if self.known.get(&old).is_some_and(|k| k.0 == at) {
+                self.known.remove(&old);
+            }
+        }
+    }
+
+    pub fn get(&self, now: Micros, key: K) -> Option<V> {
+        self.known.get(&key).filter(|k| k.0 + self.life >= now).map(|k| k.1)
+    }
+}
+
+/// What all actors share: clock, settings, inboxes, the way out.
+pub struct Room<N> {
+    pub now: Micros,
+    pub rules: Rules,
+    /// The desk's inbox first, then the peers' by index.
+    inboxes: Vec<VecDeque<N>>,
+    turns: VecDeque<usize>,
+    pub out: Vec<Action>,
+    seed: u64,
+    draws: u64,
+}
+
+impl<N> Room<N> {
+    pub fn new(now: Micros, settings: Settings, seed: u64) -> Self {
+        let inboxes = vec![VecDeque::new()];
+        Room { now, rules: Rules(settings), inboxes, turns: VecDeque::new(), out: Vec::new(), seed, draws: 0 }
+    }
+
+    /// The next note in the order of writing, and whose it is: none for the desk.
+    pub fn next(&mut self) -> Option<(Option<PeerIx>, N)> {
+        let turn = self.turns.pop_front()?;
+        let note = self.inboxes[turn].pop_front()?;
+        Some((turn.checked_sub(1), note))
+    }
+
+    pub fn tell_desk(&mut self, note: N) {
+        self.post(0, note);
+    }
+
+    pub fn tell(&mut self, peer: PeerIx, note: N) {
+        self.post(peer + 1, note);
+    }
+
+    fn post(&mut self, to: usize, note: N) {
+        if self.inboxes.len() <= to {
+            self.inboxes.resize_with(to + 1, VecDeque::new);
+        }
+        self.inboxes[to].push_back(note);
+        self.turns.push_back(to);
+    }
+
+    pub fn chance(&mut self, of: f64) -> bool {
+        self.draws += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.draws).hash(&mut hasher);
+        ((hasher.finish() >> 11) as f64) < of * (1u64 << 53) as f64
+    }
+}
