--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -17,7 +17,7 @@
 /// Names the ring after which discovery is asked again; no lookup has this id.
 const ASK_AGAIN: u32 = u32::MAX;
 /// Tail drop factor, and how long the estimate of a length and the sight of a part last (design page).
-const NU: f64 = 0.6;
+const NU: f64 = 0.9;
 const LENGTH_LIFE: Micros = 300 * SEC;
 const REPEAT_WINDOW: Micros = 10 * SEC;
 /// Rank of all that is kept; only one is used.
