Hold fills to a window that follows their timeliness; look before filling under pressure

Each front now widens the count of its fills by those that came in time and cuts it by those that did not; under pressure a cache is asked first for what it holds (an ageing copy too where the kind has a grace), and a miss without a place is nacked at once. It answers a jam of any cause: flush, slow origin, lost parent, hot or huge objects, cold caches. It could harm where sizes are untold and large objects look late.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -35,6 +35,15 @@
 const FAILING: f64 = 0.25;
 const SLOW: f64 = 2.5;
 const TRIAL: f64 = 0.04;
+/// Fills of this front that may be out at once: at first, at least, and what a bad one leaves of it.
+const WINDOW: f64 = 8.0;
+const WINDOW_LEAST: f64 = 1.5;
+const WINDOW_BACK: f64 = 0.8;
+const WINDOW_REST: Micros = SEC / 4;
+/// From this part of the window on, a cache is asked first for what it holds.
+const PRESSED: f64 = 0.5;
+/// Share of lookups that are taken to need a fill, until it was seen.
+const FILLED: f64 = 0.3;
 /// Part of a cold machine's allowance that this front uses, and of it the part that may go out at once.
 const COLD_USE: f64 = 0.7;
 const COLD_BURST: f64 = 0.3;
@@ -53,6 +62,8 @@
     lk: u32,
     cache: PeerIx,
     fill: Option<Fill>,
+    look: Option<Micros>,
+    share: f64,
     time_out: Micros,
     /// Work that it brings to the cache, and its likely part for the source.
     work: f64,
@@ -131,6 +142,7 @@
     budget: Micros,
     stretch: f64,
     fresh: Micros,
+    grace: Micros,
     uncacheable: bool,
     work: f64,
     seen: f64,
@@ -151,6 +163,7 @@
             budget,
             stretch: rules.num(&name("aim_stretch"), 0.0),
             fresh: (rules.item_num("specifics.max_age_s", k) * SEC as f64) as Micros,
+            grace: (rules.item_num("specifics.stale_for_s", k) * SEC as f64) as Micros,
             uncacheable: rules.item("specifics.goes_through", k) == "true",
             // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
             work: budget as f64,
@@ -323,6 +336,9 @@
     may_have_run: bool,
     cache_failed: bool,
     source_failed: bool,
+    /// How much of a fill it is held to be: none for one that only looks, all for a known miss.
+    fill: f64,
+    look: Option<Micros>,
 }
 
 /// The lookups, and all that the instance remembers of objects and purges.
@@ -336,6 +352,10 @@
     purged: Memory<(Option<u64>, u32), Micros>,
     /// Share of sends that a source had to fill.
     filled: Smooth,
+    /// Fills held to be out, how many may be, and when that was last cut.
+    fills: f64,
+    window: f64,
+    cut_at: Micros,
 }
 
 impl Desk {
@@ -396,16 +416,13 @@
     }
 
     /// Rule 5: how old a copy may be, 0 for any that the kind allows.
-    fn age(&self, lk: &Lookup, now: Micros) -> Micros {
+    fn age(&self, lk: &Lookup, now: Micros, grace: Micros) -> Micros {
         let one = self.purged.get(now, (Some(lk.object), 0));
         let all = self.purged.get(now, (None, lk.group));
-        let fresh = self.kinds.get(lk.kind).map_or(0, |k| k.fresh);
-        match one.max(all) {
-            // 0 would mean the default.
-            Some(at) if fresh > 0 => (now - at).clamp(1, fresh),
-            Some(at) => (now - at).max(1),
-            None => 0,
-        }
+        let most = self.kinds.get(lk.kind).filter(|k| k.fresh > 0).map(|k| k.fresh + grace);
+        // 0 would mean the default.
+        let since = one.max(all).map(|at| (now - at).max(1));
+        since.into_iter().chain(most).min().unwrap_or(0)
     }
 
     fn average(&self, role: Role, figure: impl Fn(&Card) -> Option<f64>) -> Option<f64> {
@@ -488,34 +505,51 @@
         let Some(cache) = cache else {
             return self.give_up(id, room);
         };
-        let fill = source.map(|source| Fill {
-            source,
+        let kind = self.kinds.get(lk.kind);
+        let grace = kind.map_or(0, |k| k.grace);
+        let mut fill = Fill {
+            source: source.unwrap_or(cache),
             keep: if uncacheable { 0 } else { held.keep },
-            age: self.age(&lk, now),
+            age: self.age(&lk, now, 0),
             join: room.rules.is("specifics.shares_fills") && !uncacheable,
-            renew: self.kinds.get(lk.kind).is_some_and(|k| k.fresh > 0),
-        });
+            renew: kind.is_some_and(|k| k.fresh > 0),
+        };
+        // Against a jam of fills: while many are out, the cache is first asked for what it holds, and only a
+        // known miss may take a place among the fills. What the cache holds past its fresh time is better
+        // than nothing then.
+        let looks: Vec<Micros> =
+            held.sends.iter().filter(|s| s.peer == cache && !s.out).filter_map(|s| s.look).collect();
+        let mut share = if looks.is_empty() { self.filled.drifted(now, FILLED, DRIFT) } else { 1.0 };
+        let mut look = None;
+        if !uncacheable && self.cards[cache].role == Role::Cache {
+            if looks.is_empty() && self.fills + share > self.window * PRESSED {
+                look = Some(0);
+            } else if !looks.is_empty() && self.fills + 1.0 > self.window {
+                if grace == 0 || looks.contains(&grace) {
+                    return self.give_up(id, room);
+                }
+                look = Some(grace);
+            }
+        }
+        if let Some(grace) = look {
+            (fill.source, fill.age, share) = (cache, self.age(&lk, now, grace), 0.0);
+        }
         let last = held.sends.len() + 1 >= cap || room.rules.is("limits.may_duplicate");
-        let work = self.kinds.get(lk.kind).map_or(SEC as f64, |k| k.work);
+        let work = kind.map_or(SEC as f64, |k| k.work);
         let norm = |role| self.average(role, |c| Some(c.carried.value(now, DRIFT))).unwrap_or(0.0);
         let bid = Bid {
             lk: id,
             cache,
-            // With no source to ask, nothing is filled; the age still binds.
-            fill: Some(fill.unwrap_or(Fill {
-                source: cache,
-                keep: 0,
-                age: self.age(&lk, now),
-                join: false,
-                renew: false,
-            })),
+            fill: Some(fill),
+            look,
+            share,
             time_out: if last { left } else { left * 6 / 10 },
             work,
-            fill_work: work * (2.0 * self.filled.drifted(now, 1.0, DRIFT)).min(1.0),
+            fill_work: work * (2.0 * share).min(1.0),
             norm: norm(self.cards[cache].role),
             fill_norm: norm(Role::Parent),
         };
-        match fill.filter(|f| f.source != cache) {
+        match Some(fill).filter(|f| f.source != cache) {
             Some(fill) => room.tell(fill.source, Note::Lend(bid)),
             None => room.tell(cache, Note::Carry(bid)),
         }
@@ -554,7 +588,10 @@
             may_have_run: true,
             cache_failed: false,
             source_failed: false,
+            fill: bid.share,
+            look: bid.look,
         });
+        self.fills += bid.share;
         let (first, lk) = (held.sends.len() == 1, held.lk);
         let Some(kind) = self.kinds.get(lk.kind) else {
             return;
@@ -577,6 +614,8 @@
             && held.sends.len() == 1
             && self.extra >= 1.0
             && self.may_send(held, room)
+            // Second copies are for a straggler, not for a jam.
+            && self.fills <= self.window * PRESSED
         {
             self.extra -= 1.0;
             self.plan(id, room);
@@ -658,7 +697,9 @@
         };
         send.cache_failed = !upstream && o.ending != Ending::Satisfied;
         send.source_failed = source.is_some_and(|s| s > 0.0) || o.ending == Ending::Miss;
-        let (at, source_ix) = (send.at, send.source);
+        let (at, source_ix, share, look) = (send.at, send.source, send.fill, send.look.is_some());
+        send.cache_failed &= !(look && o.ending == Ending::Miss);
+        self.fills = (self.fills - share).max(0.0);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
         if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 {
@@ -669,7 +710,13 @@
         let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
         let satisfied = o.ending == Ending::Satisfied;
         let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
-        if satisfied && told && !uncacheable {
+        if !uncacheable {
+            self.gauge(&lk, &o, share, own, room.now);
+        }
+        if look && matches!(o.ending, Ending::Satisfied | Ending::Miss) {
+            self.filled.add(room.now, f64::from(u8::from(!satisfied)), SMOOTHING);
+        }
+        if satisfied && told && !uncacheable && !look {
             self.filled.add(room.now, f64::from(u8::from(filled)), SMOOTHING);
         }
         // Fills wait for others; only what the cache held itself tells of its own pace.
@@ -688,11 +735,33 @@
         }
         if o.finished || ended {
             self.left(o.id, room);
+        } else if look && o.ending == Ending::Miss {
+            self.plan(o.id, room);
         } else if !self.lookups.get(&o.id).is_some_and(|h| h.sends.iter().any(|s| s.out)) {
             self.again(o.id, room);
         }
     }
 
+    /// Widens the window of fills by those that came within the latency budget and cuts it by those that did
+    /// not, whatever jams them (link, parent, origin, places for fills).
+    fn gauge(&mut self, lk: &Lookup, o: &Outcome, share: f64, own: f64, now: Micros) {
+        let Some(kind) = self.kinds.get(lk.kind).filter(|_| share > 0.0) else { return };
+        let in_time = o.took as f64 <= kind.budget as f64 + kind.stretch * own;
+        let held = matches!(o.remark, Remark::Hit | Remark::Old);
+        match o.ending {
+            Ending::Satisfied if held => {}
+            Ending::Satisfied if in_time => {
+                let used = self.fills + share > self.window * PRESSED;
+                self.window += if used { share / self.window } else { 0.0 };
+            }
+            Ending::Satisfied | Ending::TimedOut | Ending::TurnedAway if now > self.cut_at + WINDOW_REST => {
+                self.window = (self.window * WINDOW_BACK).max(WINDOW_LEAST);
+                self.cut_at = now;
+            }
+            _ => {}
+        }
+    }
+
     /// Extra sends are earned by first ones, so that retries cannot feed an overload.
     fn again(&mut self, id: u32, room: &mut Room<Note>) {
         if self.extra < 1.0 {
@@ -726,6 +795,9 @@
             // A second more than told: a fill that began before may still bring an old copy.
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
             filled: Smooth::default(),
+            fills: 0.0,
+            window: WINDOW,
+            cut_at: now,
         };
         Front { desk, peers: Vec::new(), room: Room::new(now, rules.0, seed) }
     }
