Gates of fills and of each cache; lost machines count as cold; direct sends name the origin

Changes: a machine that nothing reaches counts as cold from now; where no cache is sound and the settings allow, the parent is asked directly with the origin as source; one gate kind for fills and for each cache, cut when a quarter of what passes is late. Guards also against any overload of a cache's own link.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -35,11 +35,17 @@
 const FAILING: f64 = 0.25;
 const SLOW: f64 = 2.5;
 const TRIAL: f64 = 0.04;
-/// Fills of this front that may be out at once: at first, at least, and what a bad one leaves of it.
-const WINDOW: f64 = 8.0;
-const WINDOW_LEAST: f64 = 1.5;
+/// What may be out at once through a gate: at first, at least, a step up, and what a cut leaves of it.
+const WINDOW: f64 = 16.0;
+const WINDOW_LEAST: f64 = 2.0;
+const WINDOW_STEP: f64 = 0.2;
 const WINDOW_BACK: f64 = 0.8;
 const WINDOW_REST: Micros = SEC / 4;
+/// Part of a window that is open to kinds of more than usual utility for their work.
+const DEAR: f64 = 1.5;
+/// Share of late ones up to which the window grows, and from which on it is cut.
+const BAD_LOW: f64 = 0.12;
+const BAD_HIGH: f64 = 0.25;
 /// From this part of the window on, a cache is asked first for what it holds.
 const PRESSED: f64 = 0.5;
 /// Share of lookups that are taken to need a fill, until it was seen.
@@ -64,6 +70,7 @@
     fill: Option<Fill>,
     look: Option<Micros>,
     share: f64,
+    dear: bool,
     time_out: Micros,
     /// Work that it brings to the cache, and its likely part for the source.
     work: f64,
@@ -97,6 +104,8 @@
     /// To the cache that a send went to.
     Done {
         blame: Option<f64>,
+        lost: bool,
+        late: Option<bool>,
         pace: Option<f64>,
         work: f64,
     },
@@ -111,6 +120,7 @@
     Posted(PeerIx, Card),
     Sent(Bid),
     Turned(Bid, PeerIx),
+    Crowded(Bid),
 }
 
 fn mix(mut x: u64) -> u64 {
@@ -134,6 +144,45 @@
     SideEffecting,
 }
 
+/// How much may be out at once: widened while what passes comes in time, cut while too much of it does not.
+/// Against jams of any cause, in which all that is let in comes late and is asked for again.
+#[derive(Clone, Copy, Debug)]
+struct Gate {
+    out: f64,
+    window: f64,
+    late: Smooth,
+    cut_at: Micros,
+}
+
+impl Gate {
+    fn new() -> Gate {
+        Gate { out: 0.0, window: WINDOW, late: Smooth::default(), cut_at: 0 }
+    }
+
+    fn pressed(&self, share: f64) -> bool {
+        self.out + share > self.window * PRESSED
+    }
+
+    fn full(&self, share: f64, dear: bool) -> bool {
+        self.out + share > self.window * if dear { DEAR } else { 1.0 }
+    }
+
+    fn leave(&mut self, share: f64) {
+        self.out = (self.out - share).max(0.0);
+    }
+
+    fn judge(&mut self, now: Micros, late: bool, share: f64) {
+        self.late.add(now, f64::from(u8::from(late)), SMOOTHING / 2.0);
+        let late = self.late.drifted(now, 0.0, DRIFT);
+        if late > BAD_HIGH && now > self.cut_at + WINDOW_REST {
+            self.window = ((self.out + share).min(self.window) * WINDOW_BACK).max(WINDOW_LEAST);
+            self.cut_at = now;
+        } else if late < BAD_LOW && self.pressed(share) {
+            self.window += WINDOW_STEP * share;
+        }
+    }
+}
+
 /// What is told of an object kind, and the mean of what its lookups bring in work.
 struct Kind {
     repeat: Repeat,
@@ -144,6 +193,7 @@
     fresh: Micros,
     grace: Micros,
     uncacheable: bool,
+    utility: f64,
     work: f64,
     seen: f64,
 }
@@ -165,6 +215,7 @@
             fresh: (rules.item_num("specifics.max_age_s", k) * SEC as f64) as Micros,
             grace: (rules.item_num("specifics.stale_for_s", k) * SEC as f64) as Micros,
             uncacheable: rules.item("specifics.goes_through", k) == "true",
+            utility: rules.num(&name("worth"), 1.0),
             // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
             work: budget as f64,
             seen: 1.0,
@@ -180,7 +231,10 @@
 struct Peer {
     ix: PeerIx,
     card: Card,
+    /// When it came up: by the list, or as presumed from its silence since.
     since: Micros,
+    listed_since: Micros,
+    gate: Gate,
     /// Work let in while cold that time has not worked off yet.
     level: f64,
     level_at: Micros,
@@ -200,7 +254,7 @@
             pace: Smooth::default(),
             carried: Rate::default(),
         };
-        Peer { ix, card, since: 0, level: 0.0, level_at: 0 }
+        Peer { ix, card, gate: Gate::new(), since: 0, listed_since: 0, level: 0.0, level_at: 0 }
     }
 
     fn read(&mut self, note: Note, room: &mut Room<Note>) {
@@ -217,10 +271,19 @@
                 return;
             }
             Note::Carry(bid) => return self.carry(bid, room),
-            Note::Done { blame, pace, work } => {
+            Note::Done { blame, lost, late, pace, work } => {
+                self.gate.leave(1.0);
+                if let Some(late) = late {
+                    self.gate.judge(now, late, 1.0);
+                }
                 if let Some(blame) = blame {
                     self.card.failing.add(now, blame, SMOOTHING);
                 }
+                // Guards against pushing over what restarts before the list tells: a machine that nothing
+                // reaches is held to be as cold as if it came up this moment.
+                if lost && self.card.failing.drifted(now, 0.0, DRIFT) > FAILING {
+                    self.since = now;
+                }
                 if let Some(pace) = pace {
                     self.card.pace.add(now, pace, SMOOTHING);
                 }
@@ -236,7 +299,7 @@
                 self.card.latency.add(now, took as f64, SMOOTHING);
                 self.card.carried.add(now, work, DRIFT);
             }
-            Note::Posted(..) | Note::Sent(_) | Note::Turned(..) => return,
+            Note::Posted(..) | Note::Sent(_) | Note::Turned(..) | Note::Crowded(_) => return,
         }
         room.tell_desk(Note::Posted(self.ix, self.card));
     }
@@ -253,12 +316,12 @@
         } else {
             Role::Foreign
         };
-        if entry.since != self.since {
+        if entry.since != self.listed_since {
             // What was seen of the process before says nothing of the new one.
             *card = Card { failing: Smooth::default(), pace: Smooth::default(), ..*card };
+            (self.since, self.listed_since) = (entry.since, entry.since);
             (self.level, self.level_at) = (0.0, room.now);
         }
-        self.since = entry.since;
         card.stable = entry.stable;
         card.zone = usize::from(entry.zone);
         card.weight = if room.rules.text("weight_kind") == "off" { 1.0 } else { entry.weight.max(0.01) };
@@ -268,9 +331,13 @@
     /// The only place from which sends go out. Guards rules 3 and 4 for the cache; [`Note::Lend`] has done
     /// so for the source.
     fn carry(&mut self, bid: Bid, room: &mut Room<Note>) {
+        if self.gate.full(1.0, bid.dear) {
+            return room.tell_desk(Note::Crowded(bid));
+        }
         if !self.admits(room, bid.work, bid.norm) {
             return room.tell_desk(Note::Turned(bid, self.ix));
         }
+        self.gate.out += 1.0;
         room.out.push(Action::Send { id: bid.lk, peer: self.ix, time_out: bid.time_out, fill: bid.fill });
         room.tell_desk(Note::Sent(bid));
     }
@@ -352,10 +419,8 @@
     purged: Memory<(Option<u64>, u32), Micros>,
     /// Share of sends that a source had to fill.
     filled: Smooth,
-    /// Fills held to be out, how many may be, and when that was last cut.
-    fills: f64,
-    window: f64,
-    cut_at: Micros,
+    /// Fills held to be out.
+    fills: Gate,
 }
 
 impl Desk {
@@ -374,6 +439,8 @@
                     self.plan(bid.lk, room);
                 }
             }
+            // Another cache would only have to fill it: a jam is not passed on.
+            Note::Crowded(bid) => self.give_up(bid.lk, room),
             _ => {}
         }
     }
@@ -496,19 +563,22 @@
         };
         let caches = self.order(held, Role::Cache, u64::from(lk.part));
         let sound = caches.iter().copied().find(|ix| !self.shunned(*ix, room));
-        let cache = match sound.or(caches.first().copied()) {
+        let cache = match sound {
             Some(cache) if !(uncacheable && direct) => Some(cache),
-            // Past the caches only where none is left for it, or none would keep it anyway.
+            // Past the caches only where none is sound, or none would keep it anyway.
             _ if direct => source,
-            _ => None,
+            _ => caches.first().copied(),
         };
         let Some(cache) = cache else {
             return self.give_up(id, room);
         };
         let kind = self.kinds.get(lk.kind);
         let grace = kind.map_or(0, |k| k.grace);
+        // A parent that names itself would fetch nothing.
+        let origin = self.order(held, Role::Origin, 0).first().copied();
+        let behind = if self.cards[cache].role == Role::Parent { origin } else { source };
         let mut fill = Fill {
-            source: source.unwrap_or(cache),
+            source: behind.unwrap_or(cache),
             keep: if uncacheable { 0 } else { held.keep },
             age: self.age(&lk, now, 0),
             join: room.rules.is("specifics.shares_fills") && !uncacheable,
@@ -521,10 +591,16 @@
             held.sends.iter().filter(|s| s.peer == cache && !s.out).filter_map(|s| s.look).collect();
         let mut share = if looks.is_empty() { self.filled.drifted(now, FILLED, DRIFT) } else { 1.0 };
         let mut look = None;
-        if !uncacheable && self.cards[cache].role == Role::Cache {
-            if looks.is_empty() && self.fills + share > self.window * PRESSED {
+        let dear = self.dear(lk.kind);
+        if !uncacheable && self.cards[cache].role != Role::Cache {
+            share = 1.0;
+            if self.fills.full(share, dear) {
+                return self.give_up(id, room);
+            }
+        } else if !uncacheable {
+            if looks.is_empty() && self.fills.pressed(share) {
                 look = Some(0);
-            } else if !looks.is_empty() && self.fills + 1.0 > self.window {
+            } else if !looks.is_empty() && self.fills.full(1.0, dear) {
                 if grace == 0 || looks.contains(&grace) {
                     return self.give_up(id, room);
                 }
@@ -543,6 +619,7 @@
             fill: Some(fill),
             look,
             share,
+            dear,
             time_out: if last { left } else { left * 6 / 10 },
             work,
             fill_work: work * (2.0 * share).min(1.0),
@@ -591,7 +668,7 @@
             fill: bid.share,
             look: bid.look,
         });
-        self.fills += bid.share;
+        self.fills.out += bid.share;
         let (first, lk) = (held.sends.len() == 1, held.lk);
         let Some(kind) = self.kinds.get(lk.kind) else {
             return;
@@ -615,7 +692,7 @@
             && self.extra >= 1.0
             && self.may_send(held, room)
             // Second copies are for a straggler, not for a jam.
-            && self.fills <= self.window * PRESSED
+            && !self.fills.pressed(0.0)
         {
             self.extra -= 1.0;
             self.plan(id, room);
@@ -699,7 +776,7 @@
         send.source_failed = source.is_some_and(|s| s > 0.0) || o.ending == Ending::Miss;
         let (at, source_ix, share, look) = (send.at, send.source, send.fill, send.look.is_some());
         send.cache_failed &= !(look && o.ending == Ending::Miss);
-        self.fills = (self.fills - share).max(0.0);
+        self.fills.leave(share);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
         if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 {
@@ -710,9 +787,13 @@
         let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
         let satisfied = o.ending == Ending::Satisfied;
         let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
-        if !uncacheable {
-            self.gauge(&lk, &o, share, own, room.now);
+        let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && satisfied);
+        // A cache that drags what it holds itself says nothing of the fills.
+        let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
+        if let Some(late) = self.late(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
+            self.fills.judge(room.now, late, share);
         }
+        let late = self.late(&lk, &o, own, 1.0).filter(|_| satisfied && (held || !told) && !uncacheable);
         if look && matches!(o.ending, Ending::Satisfied | Ending::Miss) {
             self.filled.add(room.now, f64::from(u8::from(!satisfied)), SMOOTHING);
         }
@@ -720,10 +801,15 @@
             self.filled.add(room.now, f64::from(u8::from(filled)), SMOOTHING);
         }
         // Fills wait for others; only what the cache held itself tells of its own pace.
-        let own_pace = satisfied && !filled && !uncacheable;
+        let pressed = self.fills.pressed(0.0);
+        let own_pace = satisfied && !filled && !uncacheable && (told || look || !pressed);
         let pace = own_pace.then(|| (o.took as f64 / (own + 0.02 * SEC as f64)).min(20.0));
+        let lost = matches!(o.ending, Ending::Unconnected | Ending::Broken);
         let carried = if satisfied { work } else { 0.0 };
-        room.tell(o.peer, Note::Done { blame: cache.filter(|_| !uncacheable), pace, work: carried });
+        room.tell(
+            o.peer,
+            Note::Done { blame: cache.filter(|_| !uncacheable), lost, late, pace, work: carried },
+        );
         if let Some(ix) = source_ix {
             let part = if !told || filled { carried } else { 0.0 };
             let took = (o.took).max(room.now - at);
@@ -742,23 +828,20 @@
         }
     }
 
-    /// Widens the window of fills by those that came within the latency budget and cuts it by those that did
-    /// not, whatever jams them (link, parent, origin, places for fills).
-    fn gauge(&mut self, lk: &Lookup, o: &Outcome, share: f64, own: f64, now: Micros) {
-        let Some(kind) = self.kinds.get(lk.kind).filter(|_| share > 0.0) else { return };
-        let in_time = o.took as f64 <= kind.budget as f64 + kind.stretch * own;
-        let held = matches!(o.remark, Remark::Hit | Remark::Old);
+    /// Whether a kind brings more utility for its work than kinds do on average.
+    fn dear(&self, kind: usize) -> bool {
+        let value = |k: &Kind| k.utility / k.work.max(1.0);
+        let mean = self.kinds.iter().map(value).sum::<f64>() / self.kinds.len().max(1) as f64;
+        self.kinds.get(kind).is_some_and(|k| value(k) > mean)
+    }
+
+    /// Whether an outcome came too late for the latency budget, times the drag of its cache.
+    fn late(&self, lk: &Lookup, o: &Outcome, own: f64, drag: f64) -> Option<bool> {
+        let kind = self.kinds.get(lk.kind)?;
         match o.ending {
-            Ending::Satisfied if held => {}
-            Ending::Satisfied if in_time => {
-                let used = self.fills + share > self.window * PRESSED;
-                self.window += if used { share / self.window } else { 0.0 };
-            }
-            Ending::Satisfied | Ending::TimedOut | Ending::TurnedAway if now > self.cut_at + WINDOW_REST => {
-                self.window = (self.window * WINDOW_BACK).max(WINDOW_LEAST);
-                self.cut_at = now;
-            }
-            _ => {}
+            Ending::Satisfied => Some(o.took as f64 > drag * (kind.budget as f64 + kind.stretch * own)),
+            Ending::TimedOut | Ending::TurnedAway => Some(true),
+            _ => None,
         }
     }
 
@@ -795,9 +878,7 @@
             // A second more than told: a fill that began before may still bring an old copy.
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
             filled: Smooth::default(),
-            fills: 0.0,
-            window: WINDOW,
-            cut_at: now,
+            fills: Gate::new(),
         };
         Front { desk, peers: Vec::new(), room: Room::new(now, rules.0, seed) }
     }
