Judge caches only by what they are known to hold; dear kinds by the poorest one

Cause: where answers carry no notes, late fills cut the caches' gates; and writes, tiny and of high utility, lifted the mean utility for work so far that small objects no longer counted as dear.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -777,6 +777,8 @@
         let (at, source_ix, share, look) = (send.at, send.source, send.fill, send.look.is_some());
         send.cache_failed &= !(look && o.ending == Ending::Miss);
         self.fills.leave(share);
+        // What is known to come from the cache itself: elsewhere fills are mixed in.
+        let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && o.ending == Ending::Satisfied);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
         if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 {
@@ -787,13 +789,12 @@
         let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
         let satisfied = o.ending == Ending::Satisfied;
         let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
-        let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && satisfied);
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
         if let Some(late) = self.late(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
             self.fills.judge(room.now, late, share);
         }
-        let late = self.late(&lk, &o, own, 1.0).filter(|_| satisfied && (held || !told) && !uncacheable);
+        let late = self.late(&lk, &o, own, 1.0).filter(|_| satisfied && held && !uncacheable);
         if look && matches!(o.ending, Ending::Satisfied | Ending::Miss) {
             self.filled.add(room.now, f64::from(u8::from(!satisfied)), SMOOTHING);
         }
@@ -801,8 +802,7 @@
             self.filled.add(room.now, f64::from(u8::from(filled)), SMOOTHING);
         }
         // Fills wait for others; only what the cache held itself tells of its own pace.
-        let pressed = self.fills.pressed(0.0);
-        let own_pace = satisfied && !filled && !uncacheable && (told || look || !pressed);
+        let own_pace = satisfied && held && !uncacheable;
         let pace = own_pace.then(|| (o.took as f64 / (own + 0.02 * SEC as f64)).min(20.0));
         let lost = matches!(o.ending, Ending::Unconnected | Ending::Broken);
         let carried = if satisfied { work } else { 0.0 };
@@ -828,11 +828,11 @@
         }
     }
 
-    /// Whether a kind brings more utility for its work than kinds do on average.
+    /// Whether a kind brings clearly more utility for its work than the poorest does.
     fn dear(&self, kind: usize) -> bool {
         let value = |k: &Kind| k.utility / k.work.max(1.0);
-        let mean = self.kinds.iter().map(value).sum::<f64>() / self.kinds.len().max(1) as f64;
-        self.kinds.get(kind).is_some_and(|k| value(k) > mean)
+        let least = self.kinds.iter().map(value).fold(f64::INFINITY, f64::min);
+        self.kinds.get(kind).is_some_and(|k| value(k) > 2.0 * least)
     }
 
     /// Whether an outcome came too late for the latency budget, times the drag of its cache.
