--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -24,6 +24,8 @@
 const RANK: u8 = 1;
 /// Weight of a new sample in all smoothed figures, and how fast an idle one drifts to the average.
 const SMOOTHING: f64 = 0.2;
+/// The same for the figures that choose between parents: a weight that lets no single send turn the choice.
+const SOURCE_SMOOTHING: f64 = 0.05;
 const DRIFT: f64 = 10.0 * SEC as f64;
 /// Entries that any memory of objects may hold.
 const MEMORY: usize = 50_000;
@@ -294,9 +296,9 @@
                     self.card.failing.add(now, blame, SMOOTHING);
                 }
                 if let Some(first_byte) = first_byte {
-                    self.card.first_byte.add(now, first_byte as f64, SMOOTHING);
+                    self.card.first_byte.add(now, first_byte as f64, SOURCE_SMOOTHING);
                 }
-                self.card.latency.add(now, took as f64, SMOOTHING);
+                self.card.latency.add(now, took as f64, SOURCE_SMOOTHING);
                 self.card.carried.add(now, work, DRIFT);
             }
             Note::Posted(..) | Note::Sent(_) | Note::Turned(..) | Note::Crowded(_) => return,
@@ -812,7 +814,8 @@
         );
         if let Some(ix) = source_ix {
             let part = if !told || filled { carried } else { 0.0 };
-            let took = (o.took).max(room.now - at);
+            // Sizes differ far more than parents do: only what goes beyond the object's own time tells of them.
+            let took = (o.took.max(room.now - at) - own as Micros).max(0);
             let heard = matches!(o.ending, Ending::Satisfied | Ending::TimedOut) || upstream;
             if heard && !(told && satisfied && !filled) {
                 let first_byte = if o.ending == Ending::TimedOut { Some(took) } else { o.first_byte };
