--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -32,12 +32,15 @@
 /// Extra sends earned by a first send, and how many can be saved up.
 const EXTRA_EARNED: f64 = 0.2;
 const EXTRA_SAVED: f64 = 20.0;
+/// What a second copy costs of them: one may be mistaken, and then it only adds to the load.
+const COPY_COST: f64 = 5.0;
 /// A peer that fails this share of what it gets, or a cache so many times slower than the median of its
 /// location, is passed by, but for a few trials.
-const FAILING: f64 = 0.25;
+const FAILING: f64 = 0.15;
 const SLOW: f64 = 2.5;
 const TRIAL: f64 = 0.04;
-/// What may be out at once through a gate: at first, at least, a step up, and what a cut leaves of it.
+/// What may be out at once through a gate: at first, at least, a step up for each that came in time, and what a
+/// cut leaves. A large front is held back at first, for as long as a few hundred answers take.
 const WINDOW: f64 = 16.0;
 const WINDOW_LEAST: f64 = 2.0;
 const WINDOW_STEP: f64 = 0.2;
@@ -151,6 +154,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Gate {
     out: f64,
+    /// What has been out lately: a cut in a quiet moment must not shut the gate.
+    usual: f64,
     window: f64,
     late: Smooth,
     cut_at: Micros,
@@ -158,7 +163,7 @@
 
 impl Gate {
     fn new() -> Gate {
-        Gate { out: 0.0, window: WINDOW, late: Smooth::default(), cut_at: 0 }
+        Gate { out: 0.0, usual: 0.0, window: WINDOW, late: Smooth::at(0.0), cut_at: 0 }
     }
 
     fn pressed(&self, share: f64) -> bool {
@@ -169,6 +174,11 @@
         self.out + share > self.window * if dear { DEAR } else { 1.0 }
     }
 
+    fn enter(&mut self, share: f64) {
+        self.out += share;
+        self.usual = self.out.max(self.usual + SMOOTHING * (self.out - self.usual));
+    }
+
     fn leave(&mut self, share: f64) {
         self.out = (self.out - share).max(0.0);
     }
@@ -177,7 +187,7 @@
         self.late.add(now, f64::from(u8::from(late)), SMOOTHING / 2.0);
         let late = self.late.drifted(now, 0.0, DRIFT);
         if late > BAD_HIGH && now > self.cut_at + WINDOW_REST {
-            self.window = ((self.out + share).min(self.window) * WINDOW_BACK).max(WINDOW_LEAST);
+            self.window = (self.usual.min(self.window) * WINDOW_BACK).max(WINDOW_LEAST);
             self.cut_at = now;
         } else if late < BAD_LOW && self.pressed(share) {
             self.window += WINDOW_STEP * share;
@@ -250,10 +260,10 @@
             zone: 0,
             weight: 1.0,
             open: false,
-            failing: Smooth::default(),
+            failing: Smooth::at(0.0),
             first_byte: Smooth::default(),
             latency: Smooth::default(),
-            pace: Smooth::default(),
+            pace: Smooth::at(1.0),
             carried: Rate::default(),
         };
         Peer { ix, card, gate: Gate::new(), since: 0, listed_since: 0, level: 0.0, level_at: 0 }
@@ -279,7 +289,7 @@
                     self.gate.judge(now, late, 1.0);
                 }
                 if let Some(blame) = blame {
-                    self.card.failing.add(now, blame, SMOOTHING);
+                    self.card.failing.add(now, blame, SMOOTHING / 2.0);
                 }
                 // Guards against pushing over what restarts before the list tells: a machine that nothing
                 // reaches is held to be as cold as if it came up this moment.
@@ -293,7 +303,7 @@
             }
             Note::Gave { blame, first_byte, took, work } => {
                 if let Some(blame) = blame {
-                    self.card.failing.add(now, blame, SMOOTHING);
+                    self.card.failing.add(now, blame, SMOOTHING / 2.0);
                 }
                 if let Some(first_byte) = first_byte {
                     self.card.first_byte.add(now, first_byte as f64, SOURCE_SMOOTHING);
@@ -320,7 +330,7 @@
         };
         if entry.since != self.listed_since {
             // What was seen of the process before says nothing of the new one.
-            *card = Card { failing: Smooth::default(), pace: Smooth::default(), ..*card };
+            *card = Card { failing: Smooth::at(0.0), pace: Smooth::at(1.0), ..*card };
             (self.since, self.listed_since) = (entry.since, entry.since);
             (self.level, self.level_at) = (0.0, room.now);
         }
@@ -339,7 +349,7 @@
         if !self.admits(room, bid.work, bid.norm) {
             return room.tell_desk(Note::Turned(bid, self.ix));
         }
-        self.gate.out += 1.0;
+        self.gate.enter(1.0);
         room.out.push(Action::Send { id: bid.lk, peer: self.ix, time_out: bid.time_out, fill: bid.fill });
         room.tell_desk(Note::Sent(bid));
     }
@@ -670,7 +680,7 @@
             fill: bid.share,
             look: bid.look,
         });
-        self.fills.out += bid.share;
+        self.fills.enter(bid.share);
         let (first, lk) = (held.sends.len() == 1, held.lk);
         let Some(kind) = self.kinds.get(lk.kind) else {
             return;
@@ -691,12 +701,12 @@
         if !held.ended
             && !held.began
             && held.sends.len() == 1
-            && self.extra >= 1.0
+            && self.extra >= COPY_COST
             && self.may_send(held, room)
             // Second copies are for a straggler, not for a jam.
             && !self.fills.pressed(0.0)
         {
-            self.extra -= 1.0;
+            self.extra -= COPY_COST;
             self.plan(id, room);
         }
     }
@@ -880,7 +890,7 @@
             asked: Memory::new(REPEAT_WINDOW, MEMORY),
             // A second more than told: a fill that began before may still bring an old copy.
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
-            filled: Smooth::default(),
+            filled: Smooth::at(FILLED),
             fills: Gate::new(),
         };
         Front { desk, peers: Vec::new(), room: Room::new(now, rules.0, seed) }
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -14,6 +14,11 @@
 }
 
 impl Smooth {
+    /// Starts from what is taken to hold until something else is seen.
+    pub fn at(value: f64) -> Smooth {
+        Smooth { value: Some(value), at: 0 }
+    }
+
     pub fn add(&mut self, now: Micros, sample: f64, weight: f64) {
         self.value = Some(self.value.map_or(sample, |v| v + weight * (sample - v)));
         self.at = now;
--- /dev/null
+++ b/crates/core/tests/scenarios.rs
@@ -0,0 +1,263 @@
+//! Plays the scenarios of `tests/scenarios`, small text files of one step a line, times in seconds:
+//!
+//! - `use FILE` plays another file first; `set NAME VALUE` lays a setting; `T start` starts the front.
+//! - `T list NAME=MACHINE[,ZONE[,SINCE]] ...` gives a full list, `T drain NAME` and `T gone NAME` a change,
+//!   `T unlisted` a failed call.
+//! - `T ask ID [object=] [part=] [size=] [kind=] [group=] [until=]` brings a lookup, `T flood FROM N SPAN ...`
+//!   N of them, each for an object of its own, over SPAN seconds.
+//! - `T end ID SEND ENDING [took=] [remark=] [byte=]` ends a send; `T left ID`; `T purge object=|group= ago=`.
+//! - `expect ID send [to=] [from=] [keep=] [age=] [age<=] [out<=]` takes the next action for the lookup, as do
+//!   `expect ID nack [back>=]`, `expect ID fail`; `expect ID nothing` holds when there is none; `expect
+//!   subscribe` counts a call. `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
+//! - `count NAME FROM TO LEAST MOST` bounds the sends that reached a machine, or named it as source, between
+//!   two moments.
+
+use meadowrill_core::control::Front;
+use meadowrill_core::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Default)]
+struct Play {
+    settings: Settings,
+    front: Option<Front>,
+    names: Vec<String>,
+    bound: BTreeMap<String, String>,
+    entries: BTreeMap<PeerIx, Entry>,
+    sends: BTreeMap<u32, Vec<PeerIx>>,
+    queue: BTreeMap<u32, VecDeque<Action>>,
+    log: Vec<(Micros, PeerIx)>,
+    rings: Vec<(Micros, u32)>,
+    subscribed: usize,
+}
+
+fn time(text: &str) -> Micros {
+    (text.parse::<f64>().unwrap_or_else(|_| panic!("not a time: {text}")) * 1e6).round() as Micros
+}
+
+fn option<'a>(words: &[&'a str], name: &str) -> Option<&'a str> {
+    words.iter().find_map(|w| w.strip_prefix(name)?.strip_prefix('='))
+}
+
+impl Play {
+    fn name(&self, word: &str) -> String {
+        word.strip_prefix('$').map_or(word.to_string(), |b| self.bound[b].clone())
+    }
+
+    fn peer(&mut self, word: &str) -> PeerIx {
+        let name = self.name(word);
+        self.names.iter().position(|n| *n == name).unwrap_or_else(|| {
+            self.names.push(name);
+            self.names.len() - 1
+        })
+    }
+
+    fn hear(&mut self, now: Micros, event: Event) {
+        self.rings.sort();
+        while let Some(&(at, token)) = self.rings.first().filter(|r| r.0 < now) {
+            self.rings.remove(0);
+            self.act(at, Event::Rang { token });
+        }
+        self.act(now, event);
+    }
+
+    fn act(&mut self, now: Micros, event: Event) {
+        let mut out = Vec::new();
+        self.front.as_mut().expect("started").hear(now, event, &mut out);
+        self.note(now, out);
+    }
+
+    fn note(&mut self, now: Micros, out: Vec<Action>) {
+        for action in out {
+            match action {
+                Action::Send { id, peer, fill, .. } => {
+                    self.sends.entry(id).or_default().push(peer);
+                    self.log.push((now, peer));
+                    self.log.extend(fill.filter(|f| f.source != peer).map(|f| (now, f.source)));
+                    self.queue.entry(id).or_default().push_back(action);
+                }
+                Action::Nack { id, .. } | Action::Fail { id } => {
+                    self.queue.entry(id).or_default().push_back(action);
+                }
+                Action::Ring { at, token } => self.rings.push((at, token)),
+                Action::Subscribe => self.subscribed += 1,
+                Action::Cancel { .. } | Action::Log(_) => {}
+            }
+        }
+    }
+
+    fn lookup(&self, id: u32, now: Micros, words: &[&str]) -> Lookup {
+        let num = |name, default: f64| option(words, name).map_or(default, |v| v.parse().unwrap());
+        Lookup {
+            id,
+            object: num("object", 1.0) as u64,
+            part: num("part", 0.0) as u32,
+            size_kb: num("size", 0.0),
+            group: num("group", 0.0) as u32,
+            kind: num("kind", 0.0) as usize,
+            expires: now + (num("until", 5.0) * 1e6) as Micros,
+        }
+    }
+
+    fn entry(&mut self, word: &str) -> Entry {
+        let (name, rest) = word.split_once('=').expect("NAME=MACHINE");
+        let parts: Vec<&str> = rest.split(',').collect();
+        let peer = self.peer(name);
+        Entry {
+            peer,
+            stable: name.bytes().fold(7, |h: u64, b| h.wrapping_mul(1_000_003) ^ u64::from(b)),
+            machine: parts[0].parse().unwrap(),
+            zone: parts.get(1).map_or(0, |z| z.parse().unwrap()),
+            since: parts.get(2).map_or(0, |s| time(s)),
+            cell: 0,
+            weight: 4.0,
+            standing: Standing::Ready,
+        }
+    }
+
+    fn same(&mut self, want: &str, peer: PeerIx) -> bool {
+        if let Some(variable) = want.strip_prefix('?') {
+            self.bound.insert(variable.to_string(), self.names[peer].clone());
+            return true;
+        }
+        match want.strip_prefix('!') {
+            Some(other) => self.name(other) != self.names[peer],
+            None => self.name(want) == self.names[peer],
+        }
+    }
+
+    fn expect(&mut self, words: &[&str]) -> bool {
+        if words[0] == "subscribe" {
+            return std::mem::take(&mut self.subscribed) == 1;
+        }
+        let id: u32 = words[0].parse().unwrap();
+        let next = self.queue.entry(id).or_default().pop_front();
+        match (words[1], next) {
+            ("nothing", next) => next.is_none(),
+            ("fail", Some(Action::Fail { .. })) => true,
+            ("nack", Some(Action::Nack { come_back, .. })) => {
+                words[2..].iter().all(|w| w.strip_prefix("back>=").is_some_and(|b| come_back >= time(b)))
+            }
+            ("send", Some(Action::Send { peer, time_out, fill, .. })) => words[2..].iter().all(|w| {
+                let (key, value) = w.split_once('=').expect("KEY=VALUE");
+                let fill = fill.expect("an OBTAIN");
+                match key {
+                    "to" => self.same(value, peer),
+                    "from" => self.same(value, fill.source),
+                    "keep" => fill.keep.to_string() == value,
+                    "age" => fill.age == time(value),
+                    "age<" => fill.age > 0 && fill.age <= time(value),
+                    "out<" => time_out <= time(value),
+                    _ => panic!("unknown: {w}"),
+                }
+            }),
+            _ => false,
+        }
+    }
+
+    fn step(&mut self, line: &str) -> bool {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words[0] {
+            "use" => self.file(words[1]),
+            "set" => {
+                self.settings.insert(words[1].into(), words.get(2).copied().unwrap_or("").into());
+            }
+            "expect" => return self.expect(&words[1..]),
+            "count" => {
+                let peer = self.peer(words[1]);
+                let (from, to) = (time(words[2]), time(words[3]));
+                let n = self.log.iter().filter(|(at, p)| *p == peer && (from..to).contains(at)).count();
+                println!("{n} sends reached {}", words[1]);
+                return (words[4].parse().unwrap()..=words[5].parse().unwrap()).contains(&n);
+            }
+            at => self.event(time(at), words[1], &words[2..]),
+        }
+        true
+    }
+
+    fn event(&mut self, now: Micros, verb: &str, words: &[&str]) {
+        let event = match verb {
+            "start" => {
+                let mut out = Vec::new();
+                self.front = Some(Front::start(1, self.settings.clone(), now, &mut out));
+                return self.note(now, out);
+            }
+            "list" => {
+                let entries: Vec<Entry> = words.iter().map(|w| self.entry(w)).collect();
+                self.entries = entries.iter().map(|e| (e.peer, *e)).collect();
+                Event::Listed(Listing::Full(entries))
+            }
+            "drain" | "gone" => {
+                let standing = if verb == "drain" { Standing::Draining } else { Standing::Gone };
+                let peer = self.peer(words[0]);
+                Event::Listed(Listing::Delta(vec![Entry { standing, ..self.entries[&peer] }]))
+            }
+            "unlisted" => Event::Listed(Listing::Failed),
+            "ask" => Event::Asked(self.lookup(words[0].parse().unwrap(), now, words)),
+            "flood" => {
+                let (from, n): (u32, u32) = (words[0].parse().unwrap(), words[1].parse().unwrap());
+                for i in 0..n {
+                    let at = now + time(words[2]) * i64::from(i) / i64::from(n);
+                    let lk = Lookup { object: u64::from(from + i), ..self.lookup(from + i, at, words) };
+                    self.hear(at, Event::Asked(lk));
+                }
+                return;
+            }
+            "end" => {
+                let (id, send): (u32, u8) = (words[0].parse().unwrap(), words[1].parse().unwrap());
+                let ending = match words[2] {
+                    "satisfied" => Ending::Satisfied,
+                    "error" => Ending::Error,
+                    "turned-away" => Ending::TurnedAway,
+                    "timed-out" => Ending::TimedOut,
+                    "unconnected" => Ending::Unconnected,
+                    "miss" => Ending::Miss,
+                    other => panic!("unknown ending {other}"),
+                };
+                Event::Ended(Outcome {
+                    id,
+                    send,
+                    peer: self.sends[&id][usize::from(send)],
+                    ending,
+                    took: time(option(words, "took").unwrap_or("0.05")),
+                    finished: ending == Ending::Satisfied,
+                    remark: match option(words, "remark") {
+                        Some("hit") => Remark::Hit,
+                        Some("filled") => Remark::Filled,
+                        Some("source-lost") => Remark::SourceLost,
+                        Some(other) => panic!("unknown remark {other}"),
+                        None => Remark::None,
+                    },
+                    first_byte: option(words, "byte").map(time),
+                    report: Vec::new(),
+                })
+            }
+            "left" => Event::Left { id: words[0].parse().unwrap() },
+            "purge" => Event::Purged {
+                object: option(words, "object").map(|o| o.parse().unwrap()),
+                group: option(words, "group").map_or(0, |g| g.parse().unwrap()),
+                ago: time(option(words, "ago").unwrap_or("0")),
+            },
+            other => panic!("unknown verb {other}"),
+        };
+        self.hear(now, event);
+    }
+
+    fn file(&mut self, name: &str) {
+        let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+        let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
+        for (number, line) in (1..).zip(text.lines()) {
+            let line = line.split('#').next().unwrap_or("").trim();
+            assert!(line.is_empty() || self.step(line), "{name}.txt line {number}: {line}");
+        }
+    }
+}
+
+macro_rules! scenarios {
+    ($($name:ident)*) => { $(#[test] fn $name() { Play::default().file(stringify!($name)); })* };
+}
+
+scenarios! {
+    one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges
+    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache
+    no_sound_cache second_copy restarted_front discovery bare_settings
+}
