Pass by silent peers, keep sends to caches that are heard, keep a baseline of times seen

Told from a jam of fills by first bytes staying at 0.02 to 0.1 s while hits took 1 s. Changes: a time seen without sizes only gives way slowly upwards; a send times out early only at a peer that owes several answers; a peer that owes three for a second without a word is passed by (any silence: a cut link, a stopped process, a location lost without notice). It could harm where single answers take seconds.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -53,6 +53,11 @@
 const BAD_HIGH: f64 = 0.25;
 /// From this part of the window on, a cache is asked first for what it holds.
 const PRESSED: f64 = 0.5;
+/// How fast a mean time that was seen without sizes gives way upwards, a sample.
+const GIVE: f64 = 1.0005;
+/// A peer that owes this many answers and has given none for so long is silent.
+const SILENT: Micros = SEC;
+const OWED: u32 = 3;
 /// Share of lookups that are taken to need a fill, until it was seen.
 const FILLED: f64 = 0.3;
 /// Part of a cold machine's allowance that this front uses, and of it the part that may go out at once.
@@ -98,6 +103,9 @@
     latency: Smooth,
     pace: Smooth,
     carried: Rate,
+    /// Sends out since anything was heard, and since when.
+    owed: u32,
+    owed_since: Micros,
 }
 
 #[derive(Clone, Debug)]
@@ -110,6 +118,7 @@
     Done {
         blame: Option<f64>,
         lost: bool,
+        heard: bool,
         late: Option<bool>,
         pace: Option<f64>,
         work: f64,
@@ -207,6 +216,7 @@
     uncacheable: bool,
     utility: f64,
     work: f64,
+    recent: f64,
     seen: f64,
 }
 
@@ -230,13 +240,17 @@
             utility: rules.num(&name("worth"), 1.0),
             // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
             work: budget as f64,
+            recent: budget as f64,
             seen: 1.0,
         }
     }
 
-    fn learn(&mut self, work: f64) {
-        self.work += (work - self.work) / self.seen;
-        self.seen = (self.seen + 1.0).min(500.0);
+    fn learn(&mut self, work: f64, told: bool) {
+        self.recent += (work - self.recent) / self.seen;
+        self.seen = (self.seen + 1.0).min(if told { 500.0 } else { 50.0 });
+        // Times seen grow with a jam; taken at their word they would hide it. The lowest mean stands, and
+        // gives way slowly.
+        self.work = if told { self.recent } else { self.recent.min(self.work * GIVE) };
     }
 }
 
@@ -265,6 +279,8 @@
             latency: Smooth::default(),
             pace: Smooth::at(1.0),
             carried: Rate::default(),
+            owed: 0,
+            owed_since: 0,
         };
         Peer { ix, card, gate: Gate::new(), since: 0, listed_since: 0, level: 0.0, level_at: 0 }
     }
@@ -283,7 +299,10 @@
                 return;
             }
             Note::Carry(bid) => return self.carry(bid, room),
-            Note::Done { blame, lost, late, pace, work } => {
+            Note::Done { blame, lost, heard, late, pace, work } => {
+                if heard {
+                    self.card.owed = 0;
+                }
                 self.gate.leave(1.0);
                 if let Some(late) = late {
                     self.gate.judge(now, late, 1.0);
@@ -350,6 +369,11 @@
             return room.tell_desk(Note::Turned(bid, self.ix));
         }
         self.gate.enter(1.0);
+        if self.card.owed == 0 {
+            self.card.owed_since = room.now;
+        }
+        self.card.owed += 1;
+        room.tell_desk(Note::Posted(self.ix, self.card));
         room.out.push(Action::Send { id: bid.lk, peer: self.ix, time_out: bid.time_out, fill: bid.fill });
         room.tell_desk(Note::Sent(bid));
     }
@@ -462,7 +486,7 @@
         if lk.size_kb > 0.0 {
             let work = self.own_work(&lk, room);
             if let Some(kind) = self.kinds.get_mut(lk.kind) {
-                kind.learn(work);
+                kind.learn(work, true);
             }
         }
         let held = Held { lk, keep, ended: false, began: false, sends: Vec::new(), turned: Vec::new() };
@@ -523,7 +547,8 @@
         let fails = card.failing.drifted(room.now, 0.0, DRIFT) > FAILING;
         let drags = card.role == Role::Cache
             && card.pace.drifted(room.now, 1.0, DRIFT) > SLOW * self.pace_median(room.now).max(1.0);
-        (fails || drags) && !room.chance(TRIAL)
+        let silent = card.owed >= OWED && room.now > card.owed_since + SILENT;
+        (fails || drags || silent) && !room.chance(TRIAL)
     }
 
     /// Peers of a role that the lookup may still try, best first by the hash.
@@ -632,7 +657,7 @@
             look,
             share,
             dear,
-            time_out: if last { left } else { left * 6 / 10 },
+            time_out: if last || self.cards[cache].owed < OWED { left } else { left * 6 / 10 },
             work,
             fill_work: work * (2.0 * share).min(1.0),
             norm: norm(self.cards[cache].role),
@@ -793,9 +818,9 @@
         let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && o.ending == Ending::Satisfied);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
-        if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 {
+        if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 && (held || !told) {
             if let Some(kind) = self.kinds.get_mut(lk.kind) {
-                kind.learn(o.took as f64);
+                kind.learn(o.took as f64, false);
             }
         }
         let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
@@ -817,10 +842,11 @@
         let own_pace = satisfied && held && !uncacheable;
         let pace = own_pace.then(|| (o.took as f64 / (own + 0.02 * SEC as f64)).min(20.0));
         let lost = matches!(o.ending, Ending::Unconnected | Ending::Broken);
+        let heard = matches!(o.ending, Ending::Satisfied | Ending::Miss | Ending::Error | Ending::TurnedAway);
         let carried = if satisfied { work } else { 0.0 };
         room.tell(
             o.peer,
-            Note::Done { blame: cache.filter(|_| !uncacheable), lost, late, pace, work: carried },
+            Note::Done { blame: cache.filter(|_| !uncacheable), lost, heard, late, pace, work: carried },
         );
         if let Some(ix) = source_ix {
             let part = if !told || filled { carried } else { 0.0 };
