--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -11,6 +11,7 @@
 
 use crate::interface::*;
 use crate::room::{Memory, Rate, Room, Rules, Smooth};
+use crate::state::{Bid, Card, Held, Kind, Note, Repeat, Role, Sent};
 use std::collections::BTreeMap;
 
 const SEC: Micros = 1_000_000;
@@ -64,79 +65,6 @@
 const COLD_USE: f64 = 0.7;
 const COLD_BURST: f64 = 0.3;
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Role {
-    Cache,
-    Parent,
-    Origin,
-    Foreign,
-}
-
-/// A send on its way through the guards.
-#[derive(Clone, Copy, Debug)]
-struct Bid {
-    lk: u32,
-    cache: PeerIx,
-    fill: Option<Fill>,
-    look: Option<Micros>,
-    share: f64,
-    dear: bool,
-    time_out: Micros,
-    /// Work that it brings to the cache, and its likely part for the source.
-    work: f64,
-    fill_work: f64,
-    /// What a peer of the cache's and the source's tier carries for this front, in work a second.
-    norm: f64,
-    fill_norm: f64,
-}
-
-/// What a peer posts of itself: all that the desk knows when it chooses.
-#[derive(Clone, Copy, Debug)]
-struct Card {
-    role: Role,
-    stable: u64,
-    zone: usize,
-    weight: f64,
-    open: bool,
-    failing: Smooth,
-    first_byte: Smooth,
-    latency: Smooth,
-    pace: Smooth,
-    carried: Rate,
-    /// Sends out since anything was heard, and since when.
-    owed: u32,
-    owed_since: Micros,
-}
-
-#[derive(Clone, Debug)]
-enum Note {
-    Listed(Entry),
-    Unlisted,
-    Lend(Bid),
-    Carry(Bid),
-    /// To the cache that a send went to.
-    Done {
-        blame: Option<f64>,
-        lost: bool,
-        heard: bool,
-        late: Option<bool>,
-        pace: Option<f64>,
-        work: f64,
-    },
-    /// To the source that it named.
-    Gave {
-        blame: Option<f64>,
-        first_byte: Option<Micros>,
-        took: Micros,
-        work: f64,
-    },
-    /// To the desk.
-    Posted(PeerIx, Card),
-    Sent(Bid),
-    Turned(Bid, PeerIx),
-    Crowded(Bid),
-}
-
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -151,13 +79,6 @@
     -weight / unit.ln()
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-enum Repeat {
-    Idempotent,
-    Deduplicated,
-    SideEffecting,
-}
-
 /// How much may be out at once: widened while what passes comes in time, cut while too much of it does not.
 /// Against jams of any cause, in which all that is let in comes late and is asked for again.
 #[derive(Clone, Copy, Debug)]
@@ -204,22 +125,6 @@
     }
 }
 
-/// What is told of an object kind, and the mean of what its lookups bring in work.
-struct Kind {
-    repeat: Repeat,
-    group: String,
-    window: Micros,
-    budget: Micros,
-    stretch: f64,
-    fresh: Micros,
-    grace: Micros,
-    uncacheable: bool,
-    utility: f64,
-    work: f64,
-    recent: f64,
-    seen: f64,
-}
-
 impl Kind {
     fn read(rules: &Rules, k: usize) -> Kind {
         let name = |what: &str| format!("classes.{k}.{what}");
@@ -420,30 +325,6 @@
     }
 }
 
-/// A lookup while the front owes its answer, and until the last of its sends is heard of.
-struct Held {
-    lk: Lookup,
-    keep: u8,
-    ended: bool,
-    began: bool,
-    sends: Vec<Sent>,
-    /// Peers that turned a bid away before it was sent.
-    turned: Vec<PeerIx>,
-}
-
-struct Sent {
-    peer: PeerIx,
-    source: Option<PeerIx>,
-    at: Micros,
-    out: bool,
-    may_have_run: bool,
-    cache_failed: bool,
-    source_failed: bool,
-    /// How much of a fill it is held to be: none for one that only looks, all for a known miss.
-    fill: f64,
-    look: Option<Micros>,
-}
-
 /// The lookups, and all that the instance remembers of objects and purges.
 struct Desk {
     cards: Vec<Card>,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod control;
 pub mod interface;
 mod room;
+mod state;
--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,132 @@
+//! What the decision module keeps, grouped by how long it lives: no decision and no value of its own.
+
+use crate::interface::{Entry, Fill, Lookup, Micros, PeerIx};
+use crate::room::{Rate, Smooth};
+
+// For one send.
+
+/// A send on its way through the guards.
+#[derive(Clone, Copy, Debug)]
+pub struct Bid {
+    pub lk: u32,
+    pub cache: PeerIx,
+    pub fill: Option<Fill>,
+    pub look: Option<Micros>,
+    pub share: f64,
+    pub dear: bool,
+    pub time_out: Micros,
+    /// Work that it brings to the cache, and its likely part for the source.
+    pub work: f64,
+    pub fill_work: f64,
+    /// What a peer of the cache's and the source's tier carries for this front, in work a second.
+    pub norm: f64,
+    pub fill_norm: f64,
+}
+
+pub struct Sent {
+    pub peer: PeerIx,
+    pub source: Option<PeerIx>,
+    pub at: Micros,
+    pub out: bool,
+    pub may_have_run: bool,
+    pub cache_failed: bool,
+    pub source_failed: bool,
+    /// How much of a fill it is held to be: none for one that only looks, all for a known miss.
+    pub fill: f64,
+    pub look: Option<Micros>,
+}
+
+// For one lookup.
+
+/// A lookup while the front owes its answer, and until the last of its sends is heard of.
+pub struct Held {
+    pub lk: Lookup,
+    pub keep: u8,
+    pub ended: bool,
+    pub began: bool,
+    pub sends: Vec<Sent>,
+    /// Peers that turned a bid away before it was sent.
+    pub turned: Vec<PeerIx>,
+}
+
+// For one cache, parent or origin.
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Role {
+    Cache,
+    Parent,
+    Origin,
+    Foreign,
+}
+
+/// What a peer posts of itself: all that the desk knows when it chooses.
+#[derive(Clone, Copy, Debug)]
+pub struct Card {
+    pub role: Role,
+    pub stable: u64,
+    pub zone: usize,
+    pub weight: f64,
+    pub open: bool,
+    pub failing: Smooth,
+    pub first_byte: Smooth,
+    pub latency: Smooth,
+    pub pace: Smooth,
+    pub carried: Rate,
+    /// Sends out since anything was heard, and since when.
+    pub owed: u32,
+    pub owed_since: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub enum Note {
+    Listed(Entry),
+    Unlisted,
+    Lend(Bid),
+    Carry(Bid),
+    /// To the cache that a send went to.
+    Done {
+        blame: Option<f64>,
+        lost: bool,
+        heard: bool,
+        late: Option<bool>,
+        pace: Option<f64>,
+        work: f64,
+    },
+    /// To the source that it named.
+    Gave {
+        blame: Option<f64>,
+        first_byte: Option<Micros>,
+        took: Micros,
+        work: f64,
+    },
+    /// To the desk.
+    Posted(PeerIx, Card),
+    Sent(Bid),
+    Turned(Bid, PeerIx),
+    Crowded(Bid),
+}
+
+// For the instance.
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Repeat {
+    Idempotent,
+    Deduplicated,
+    SideEffecting,
+}
+
+/// What is told of an object kind, and the mean of what its lookups bring in work.
+pub struct Kind {
+    pub repeat: Repeat,
+    pub group: String,
+    pub window: Micros,
+    pub budget: Micros,
+    pub stretch: f64,
+    pub fresh: Micros,
+    pub grace: Micros,
+    pub uncacheable: bool,
+    pub utility: f64,
+    pub work: f64,
+    pub recent: f64,
+    pub seen: f64,
+}
