Open gates by the room that a lookup has in its latency budget

A gate now lets a lookup in by how much it may be slowed within its own latency budget, against the kind with the least room; it replaces the dear kinds.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -47,8 +47,9 @@
 const WINDOW_STEP: f64 = 0.2;
 const WINDOW_BACK: f64 = 0.8;
 const WINDOW_REST: Micros = SEC / 4;
-/// Part of a window that is open to kinds of more than usual utility for their work.
-const DEAR: f64 = 1.5;
+/// Parts of a window that are open to a lookup with the least and the most room in its latency budget.
+const TIGHT: f64 = 0.5;
+const EASY: f64 = 3.0;
 /// Share of late ones up to which the window grows, and from which on it is cut.
 const BAD_LOW: f64 = 0.12;
 const BAD_HIGH: f64 = 0.25;
@@ -100,8 +101,8 @@
         self.out + share > self.window * PRESSED
     }
 
-    fn full(&self, share: f64, dear: bool) -> bool {
-        self.out + share > self.window * if dear { DEAR } else { 1.0 }
+    fn full(&self, share: f64, ease: f64) -> bool {
+        self.out + share > self.window * ease
     }
 
     fn enter(&mut self, share: f64) {
@@ -142,7 +143,6 @@
             fresh: (rules.item_num("specifics.max_age_s", k) * SEC as f64) as Micros,
             grace: (rules.item_num("specifics.stale_for_s", k) * SEC as f64) as Micros,
             uncacheable: rules.item("specifics.goes_through", k) == "true",
-            utility: rules.num(&name("worth"), 1.0),
             // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
             work: budget as f64,
             recent: budget as f64,
@@ -267,7 +267,7 @@
     /// The only place from which sends go out. Guards rules 3 and 4 for the cache; [`Note::Lend`] has done
     /// so for the source.
     fn carry(&mut self, bid: Bid, room: &mut Room<Note>) {
-        if self.gate.full(1.0, bid.dear) {
+        if self.gate.full(1.0, bid.ease) {
             return room.tell_desk(Note::Crowded(bid));
         }
         if !self.admits(room, bid.work, bid.norm) {
@@ -509,16 +509,16 @@
             held.sends.iter().filter(|s| s.peer == cache && !s.out).filter_map(|s| s.look).collect();
         let mut share = if looks.is_empty() { self.filled.drifted(now, FILLED, DRIFT) } else { 1.0 };
         let mut look = None;
-        let dear = self.dear(lk.kind);
+        let ease = self.ease(&lk, room);
         if !uncacheable && self.cards[cache].role != Role::Cache {
             share = 1.0;
-            if self.fills.full(share, dear) {
+            if self.fills.full(share, ease) {
                 return self.give_up(id, room);
             }
         } else if !uncacheable {
             if looks.is_empty() && self.fills.pressed(share) {
                 look = Some(0);
-            } else if !looks.is_empty() && self.fills.full(1.0, dear) {
+            } else if !looks.is_empty() && self.fills.full(1.0, ease) {
                 if grace == 0 || looks.contains(&grace) {
                     return self.give_up(id, room);
                 }
@@ -537,7 +537,7 @@
             fill: Some(fill),
             look,
             share,
-            dear,
+            ease,
             time_out: if last || self.cards[cache].owed < OWED { left } else { left * 6 / 10 },
             work,
             fill_work: work * (2.0 * share).min(1.0),
@@ -699,14 +699,14 @@
         let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && o.ending == Ending::Satisfied);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
-        if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 && (held || !told) {
+        let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
+        if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 && (held || !told || uncacheable) {
             if let Some(kind) = self.kinds.get_mut(lk.kind) {
                 kind.learn(o.took as f64, false);
             }
         }
         let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
         let satisfied = o.ending == Ending::Satisfied;
-        let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
         if let Some(late) = self.late(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
@@ -748,11 +748,20 @@
         }
     }
 
-    /// Whether a kind brings clearly more utility for its work than the poorest does.
-    fn dear(&self, kind: usize) -> bool {
-        let value = |k: &Kind| k.utility / k.work.max(1.0);
-        let least = self.kinds.iter().map(value).fold(f64::INFINITY, f64::min);
-        self.kinds.get(kind).is_some_and(|k| value(k) > 2.0 * least)
+    /// How much more a lookup may be slowed down, within its latency budget, than a usual one of the kind with
+    /// the least room. In a jam it is the large ones that would come late, and that make others late.
+    fn ease(&self, lk: &Lookup, room: &Room<Note>) -> f64 {
+        let slack = |k: &Kind, work: f64| k.stretch + k.budget as f64 / work.max(1.0);
+        let cached = self.kinds.iter().filter(|k| !k.uncacheable);
+        let least = cached.map(|k| slack(k, k.work)).fold(f64::INFINITY, f64::min);
+        let own = self.kinds.get(lk.kind).map_or(1.0, |k| slack(k, self.own_work(lk, room)));
+        // What the origin runs only passes through, however long that takes.
+        let runs_behind = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
+        if runs_behind {
+            EASY
+        } else {
+            (own / least).clamp(TIGHT, EASY)
+        }
     }
 
     /// Whether an outcome came too late for the latency budget, times the drag of its cache.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -13,7 +13,8 @@
     pub fill: Option<Fill>,
     pub look: Option<Micros>,
     pub share: f64,
-    pub dear: bool,
+    /// Room in its latency budget, against a usual lookup.
+    pub ease: f64,
     pub time_out: Micros,
     /// Work that it brings to the cache, and its likely part for the source.
     pub work: f64,
@@ -125,7 +126,6 @@
     pub fresh: Micros,
     pub grace: Micros,
     pub uncacheable: bool,
-    pub utility: f64,
     pub work: f64,
     pub recent: f64,
     pub seen: f64,
