Gate fetches behind the parents apart from fills; ask a parent for what it holds

Under pressure a known miss now goes first to what the parent holds; only what it lacks needs a place among the fetches. It guards against any trouble behind the parents; it costs one short send more a miss while it acts.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -156,7 +156,7 @@
                 supplier: self.address[fill.source],
                 admit: fill.keep,
                 oldness_s: seconds(fill.age),
-                mode: u8::from(fill.join) | u8::from(fill.renew) << 3,
+                mode: u8::from(fill.join) | u8::from(fill.held_only) << 1 | u8::from(fill.renew) << 3,
             },
             Action::Nack { id, come_back } => Deed::OverloadReply { id, cool_down_s: seconds(come_back) },
             Action::Fail { id } => Deed::Surrender { id },
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -11,7 +11,7 @@
 
 use crate::interface::*;
 use crate::room::{Memory, Rate, Room, Rules, Smooth};
-use crate::state::{Bid, Card, Held, Kind, Note, Repeat, Role, Sent};
+use crate::state::{Ask, Bid, Card, Held, Kind, Note, Repeat, Role, Sent};
 use std::collections::BTreeMap;
 
 const SEC: Micros = 1_000_000;
@@ -338,6 +338,8 @@
     filled: Smooth,
     /// Fills held to be out.
     fills: Gate,
+    /// Those of them that the origin is held to have to answer.
+    fetches: Gate,
 }
 
 impl Desk {
@@ -501,33 +503,51 @@
             age: self.age(&lk, now, 0),
             join: room.rules.is("specifics.shares_fills") && !uncacheable,
             renew: kind.is_some_and(|k| k.fresh > 0),
+            held_only: false,
         };
-        // Against a jam of fills: while many are out, the cache is first asked for what it holds, and only a
-        // known miss may take a place among the fills. What the cache holds past its fresh time is better
-        // than nothing then.
-        let looks: Vec<Micros> =
-            held.sends.iter().filter(|s| s.peer == cache && !s.out).filter_map(|s| s.look).collect();
-        let mut share = if looks.is_empty() { self.filled.drifted(now, FILLED, DRIFT) } else { 1.0 };
-        let mut look = None;
+        // Against a jam of fills: while many are out, the cache is first asked for what it holds, then the
+        // parent for what it holds, and only what is known to be missing there may wait for a place among the
+        // fetches behind. So a slow origin shuts off neither hits nor parents. What the cache holds past its
+        // fresh time is better than nothing then.
+        let missed = |ask: Ask| held.sends.iter().any(|s| s.peer == cache && !s.out && s.ask == ask);
+        let usual = self.filled.drifted(now, FILLED, DRIFT);
+        let lacking = missed(Ask::Held) || self.cards[fill.source].role == Role::Origin;
         let ease = self.ease(&lk, room);
-        if !uncacheable && self.cards[cache].role != Role::Cache {
-            share = 1.0;
-            if self.fills.full(share, ease) {
+        let fetches_full = self.fetches.full(1.0, ease);
+        let ask = if uncacheable {
+            Ask::Plain
+        } else if self.cards[cache].role != Role::Cache {
+            if self.fills.full(1.0, ease) || fetches_full {
                 return self.give_up(id, room);
             }
-        } else if !uncacheable {
-            if looks.is_empty() && self.fills.pressed(share) {
-                look = Some(0);
-            } else if !looks.is_empty() && self.fills.full(1.0, ease) {
-                if grace == 0 || looks.contains(&grace) {
-                    return self.give_up(id, room);
-                }
-                look = Some(grace);
+            Ask::Fetch
+        } else if !missed(Ask::Look) {
+            if self.fills.pressed(usual) || self.fetches.pressed(usual) {
+                Ask::Look
+            } else {
+                Ask::Plain
             }
-        }
-        if let Some(grace) = look {
-            (fill.source, fill.age, share) = (cache, self.age(&lk, now, grace), 0.0);
-        }
+        } else if self.fills.full(1.0, ease) || (lacking && fetches_full) {
+            if grace == 0 || missed(Ask::Stale) {
+                return self.give_up(id, room);
+            }
+            Ask::Stale
+        } else if self.fetches.pressed(1.0) && !lacking {
+            Ask::Held
+        } else {
+            Ask::Fetch
+        };
+        if matches!(ask, Ask::Look | Ask::Stale) {
+            let grace = if ask == Ask::Stale { grace } else { 0 };
+            (fill.source, fill.age) = (cache, self.age(&lk, now, grace));
+        }
+        fill.held_only = ask == Ask::Held;
+        let (share, fetch) = match ask {
+            Ask::Look | Ask::Stale => (0.0, 0.0),
+            Ask::Plain => (usual, usual),
+            Ask::Held => (1.0, 0.0),
+            Ask::Fetch => (1.0, 1.0),
+        };
         let last = held.sends.len() + 1 >= cap || room.rules.is("limits.may_duplicate");
         let work = kind.map_or(SEC as f64, |k| k.work);
         let norm = |role| self.average(role, |c| Some(c.carried.value(now, DRIFT))).unwrap_or(0.0);
@@ -535,8 +555,9 @@
             lk: id,
             cache,
             fill: Some(fill),
-            look,
+            ask,
             share,
+            fetch,
             ease,
             time_out: if last || self.cards[cache].owed < OWED { left } else { left * 6 / 10 },
             work,
@@ -584,9 +605,11 @@
             cache_failed: false,
             source_failed: false,
             fill: bid.share,
-            look: bid.look,
+            fetch: bid.fetch,
+            ask: bid.ask,
         });
         self.fills.enter(bid.share);
+        self.fetches.enter(bid.fetch);
         let (first, lk) = (held.sends.len() == 1, held.lk);
         let Some(kind) = self.kinds.get(lk.kind) else {
             return;
@@ -611,6 +634,7 @@
             && self.may_send(held, room)
             // Second copies are for a straggler, not for a jam.
             && !self.fills.pressed(0.0)
+            && !self.fetches.pressed(0.0)
         {
             self.extra -= COPY_COST;
             self.plan(id, room);
@@ -692,9 +716,14 @@
         };
         send.cache_failed = !upstream && o.ending != Ending::Satisfied;
         send.source_failed = source.is_some_and(|s| s > 0.0) || o.ending == Ending::Miss;
-        let (at, source_ix, share, look) = (send.at, send.source, send.fill, send.look.is_some());
-        send.cache_failed &= !(look && o.ending == Ending::Miss);
+        let (at, source_ix, share, fetch, ask) = (send.at, send.source, send.fill, send.fetch, send.ask);
+        let look = matches!(ask, Ask::Look | Ask::Stale);
+        // A miss that was asked for is no failure: it only tells where to ask next.
+        let told_so = (look || ask == Ask::Held) && o.ending == Ending::Miss;
+        send.cache_failed &= !told_so;
+        send.source_failed &= !told_so;
         self.fills.leave(share);
+        self.fetches.leave(fetch);
         // What is known to come from the cache itself: elsewhere fills are mixed in.
         let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && o.ending == Ending::Satisfied);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
@@ -710,7 +739,20 @@
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
         if let Some(late) = self.late(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
-            self.fills.judge(room.now, late, share);
+            // Behind the parent or before it: by the notes, by the first byte, or by what was asked.
+            let budget = self.kinds.get(lk.kind).map_or(0, |k| k.budget);
+            let behind = match o.remark {
+                Remark::FilledFromOrigin | Remark::OriginFailed => true,
+                Remark::Filled | Remark::NoPlace | Remark::SourceRefused | Remark::SourceLost => false,
+                _ => ask == Ask::Fetch || (ask == Ask::Plain && !(told && satisfied)),
+            };
+            let at_link = o.first_byte.is_some_and(|b| b < budget / 2);
+            if behind && !(late && at_link) {
+                self.fetches.judge(room.now, late, fetch);
+            }
+            if !late || !behind || at_link {
+                self.fills.judge(room.now, late, share);
+            }
         }
         let late = self.late(&lk, &o, own, 1.0).filter(|_| satisfied && held && !uncacheable);
         if look && matches!(o.ending, Ending::Satisfied | Ending::Miss) {
@@ -741,7 +783,7 @@
         }
         if o.finished || ended {
             self.left(o.id, room);
-        } else if look && o.ending == Ending::Miss {
+        } else if told_so {
             self.plan(o.id, room);
         } else if !self.lookups.get(&o.id).is_some_and(|h| h.sends.iter().any(|s| s.out)) {
             self.again(o.id, room);
@@ -808,6 +850,7 @@
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
             filled: Smooth::at(FILLED),
             fills: Gate::new(),
+            fetches: Gate::new(),
         };
         Front { desk, peers: Vec::new(), room: Room::new(now, rules.0, seed) }
     }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -150,6 +150,8 @@
     pub age: Micros,
     pub join: bool,
     pub renew: bool,
+    /// The source is to fetch nothing for it.
+    pub held_only: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -5,14 +5,28 @@
 
 // For one send.
 
+/// How far a send may go for what it asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// All the way.
+    Plain,
+    /// No further than the cache; the same for a copy past its fresh time.
+    Look,
+    Stale,
+    /// Known to miss at the cache: to what the parent holds, or all the way.
+    Held,
+    Fetch,
+}
+
 /// A send on its way through the guards.
 #[derive(Clone, Copy, Debug)]
 pub struct Bid {
     pub lk: u32,
     pub cache: PeerIx,
     pub fill: Option<Fill>,
-    pub look: Option<Micros>,
+    pub ask: Ask,
     pub share: f64,
+    pub fetch: f64,
     /// Room in its latency budget, against a usual lookup.
     pub ease: f64,
     pub time_out: Micros,
@@ -32,9 +46,11 @@
     pub may_have_run: bool,
     pub cache_failed: bool,
     pub source_failed: bool,
-    /// How much of a fill it is held to be: none for one that only looks, all for a known miss.
+    /// How much of a fill it is held to be, and of a fetch from the origin: none for one that only looks, all
+    /// for a known miss.
     pub fill: f64,
-    pub look: Option<Micros>,
+    pub fetch: f64,
+    pub ask: Ask,
 }
 
 // For one lookup.
