--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -513,7 +513,8 @@
         let usual = self.filled.drifted(now, FILLED, DRIFT);
         let lacking = missed(Ask::Held) || self.cards[fill.source].role == Role::Origin;
         let ease = self.ease(&lk, room);
-        let fetches_full = self.fetches.full(1.0, ease);
+        // A fetch costs the origin much the same whatever the size.
+        let fetches_full = self.fetches.full(1.0, ease.sqrt());
         let ask = if uncacheable {
             Ask::Plain
         } else if self.cards[cache].role != Role::Cache {
