--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -47,6 +47,8 @@
 const WINDOW_STEP: f64 = 0.2;
 const WINDOW_BACK: f64 = 0.8;
 const WINDOW_REST: Micros = SEC / 4;
+/// A log line about the same thing comes at most so often.
+const SAY_REST: Micros = 5 * SEC;
 /// Parts of a window that are open to a lookup with the least and the most room in its latency budget.
 const TIGHT: f64 = 0.5;
 const EASY: f64 = 3.0;
@@ -90,11 +92,12 @@
     window: f64,
     late: Smooth,
     cut_at: Micros,
+    said_at: Micros,
 }
 
 impl Gate {
     fn new() -> Gate {
-        Gate { out: 0.0, usual: 0.0, window: WINDOW, late: Smooth::at(0.0), cut_at: 0 }
+        Gate { out: 0.0, usual: 0.0, window: WINDOW, late: Smooth::at(0.0), cut_at: 0, said_at: 0 }
     }
 
     fn pressed(&self, share: f64) -> bool {
@@ -114,15 +117,20 @@
         self.out = (self.out - share).max(0.0);
     }
 
-    fn judge(&mut self, now: Micros, late: bool, share: f64) {
+    /// True when it was cut, for the log, and not said lately.
+    fn judge(&mut self, now: Micros, late: bool, share: f64) -> bool {
         self.late.add(now, f64::from(u8::from(late)), SMOOTHING / 2.0);
         let late = self.late.drifted(now, 0.0, DRIFT);
         if late > BAD_HIGH && now > self.cut_at + WINDOW_REST {
             self.window = (self.usual.min(self.window) * WINDOW_BACK).max(WINDOW_LEAST);
             self.cut_at = now;
+            let fresh = now > self.said_at + SAY_REST;
+            self.said_at = if fresh { now } else { self.said_at };
+            return fresh;
         } else if late < BAD_LOW && self.pressed(share) {
             self.window += WINDOW_STEP * share;
         }
+        false
     }
 }
 
@@ -209,8 +217,9 @@
                     self.card.owed = 0;
                 }
                 self.gate.leave(1.0);
-                if let Some(late) = late {
-                    self.gate.judge(now, late, 1.0);
+                if late.is_some_and(|late| self.gate.judge(now, late, 1.0)) {
+                    let (id, window) = (self.card.stable, self.gate.window);
+                    room.out.push(Action::Log(format!("gate of {id:012x} cut to {window:.0}")));
                 }
                 if let Some(blame) = blame {
                     self.card.failing.add(now, blame, SMOOTHING / 2.0);
@@ -218,6 +227,10 @@
                 // Guards against pushing over what restarts before the list tells: a machine that nothing
                 // reaches is held to be as cold as if it came up this moment.
                 if lost && self.card.failing.drifted(now, 0.0, DRIFT) > FAILING {
+                    if now > self.since + SAY_REST {
+                        let id = self.card.stable;
+                        room.out.push(Action::Log(format!("{id:012x} unreached: held cold")));
+                    }
                     self.since = now;
                 }
                 if let Some(pace) = pace {
@@ -748,11 +761,13 @@
                 _ => ask == Ask::Fetch || (ask == Ask::Plain && !(told && satisfied)),
             };
             let at_link = o.first_byte.is_some_and(|b| b < budget / 2);
-            if behind && !(late && at_link) {
-                self.fetches.judge(room.now, late, fetch);
+            if behind && !(late && at_link) && self.fetches.judge(room.now, late, fetch) {
+                let window = self.fetches.window;
+                room.out.push(Action::Log(format!("fetches jammed: window {window:.0}")));
             }
-            if !late || !behind || at_link {
-                self.fills.judge(room.now, late, share);
+            if (!late || !behind || at_link) && self.fills.judge(room.now, late, share) {
+                let window = self.fills.window;
+                room.out.push(Action::Log(format!("fills jammed: window {window:.0}")));
             }
         }
         let late = self.late(&lk, &o, own, 1.0).filter(|_| satisfied && held && !uncacheable);
