Lay unclear failures to what stands out among its like; let the well come back fast

An unclear failure now counts as doubt at cache and source alike, and a peer is passed by for doubt only where it stands out among its like.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -11,7 +11,7 @@
 
 use crate::interface::*;
 use crate::room::{Memory, Rate, Room, Rules, Smooth};
-use crate::state::{Ask, Bid, Card, Held, Kind, Note, Repeat, Role, Sent};
+use crate::state::{Ask, Bid, Card, Held, Kind, Note, Repeat, Role, Sent, Verdict};
 use std::collections::BTreeMap;
 
 const SEC: Micros = 1_000_000;
@@ -40,6 +40,8 @@
 const FAILING: f64 = 0.15;
 const SLOW: f64 = 2.5;
 const TRIAL: f64 = 0.04;
+/// Good answers in a row that are counted; each doubles the trials.
+const STREAK: u32 = 5;
 /// What may be out at once through a gate: at first, at least, a step up for each that came in time, and what a
 /// cut leaves. A large front is held back at first, for as long as a few hundred answers take.
 const WINDOW: f64 = 16.0;
@@ -188,10 +190,12 @@
             weight: 1.0,
             open: false,
             failing: Smooth::at(0.0),
+            doubt: Smooth::at(0.0),
             first_byte: Smooth::default(),
             latency: Smooth::default(),
             pace: Smooth::at(1.0),
             carried: Rate::default(),
+            streak: 0,
             owed: 0,
             owed_since: 0,
         };
@@ -212,7 +216,7 @@
                 return;
             }
             Note::Carry(bid) => return self.carry(bid, room),
-            Note::Done { blame, lost, heard, late, pace, work } => {
+            Note::Done { verdict, lost, heard, late, pace, work } => {
                 if heard {
                     self.card.owed = 0;
                 }
@@ -221,9 +225,7 @@
                     let (id, window) = (self.card.stable, self.gate.window);
                     room.out.push(Action::Log(format!("gate of {id:012x} cut to {window:.0}")));
                 }
-                if let Some(blame) = blame {
-                    self.card.failing.add(now, blame, SMOOTHING / 2.0);
-                }
+                self.judged(now, verdict, pace.is_some_and(|p| p > SLOW));
                 // Guards against pushing over what restarts before the list tells: a machine that nothing
                 // reaches is held to be as cold as if it came up this moment.
                 if lost && self.card.failing.drifted(now, 0.0, DRIFT) > FAILING {
@@ -238,14 +240,14 @@
                 }
                 self.card.carried.add(now, work, DRIFT);
             }
-            Note::Gave { blame, first_byte, took, work } => {
-                if let Some(blame) = blame {
-                    self.card.failing.add(now, blame, SMOOTHING / 2.0);
-                }
+            Note::Gave { verdict, first_byte, took, work } => {
+                self.judged(now, verdict, false);
                 if let Some(first_byte) = first_byte {
                     self.card.first_byte.add(now, first_byte as f64, SOURCE_SMOOTHING);
                 }
-                self.card.latency.add(now, took as f64, SOURCE_SMOOTHING);
+                if let Some(took) = took {
+                    self.card.latency.add(now, took as f64, SOURCE_SMOOTHING);
+                }
                 self.card.carried.add(now, work, DRIFT);
             }
             Note::Posted(..) | Note::Sent(_) | Note::Turned(..) | Note::Crowded(_) => return,
@@ -253,6 +255,20 @@
         room.tell_desk(Note::Posted(self.ix, self.card));
     }
 
+    fn judged(&mut self, now: Micros, verdict: Verdict, dragged: bool) {
+        match verdict.sure.into_iter().chain(verdict.doubt).reduce(f64::max) {
+            Some(failed) if failed > 0.0 || dragged => self.card.streak = 0,
+            Some(_) => self.card.streak = (self.card.streak + 1).min(STREAK),
+            None => {}
+        }
+        if let Some(sure) = verdict.sure {
+            self.card.failing.add(now, sure, SMOOTHING / 2.0);
+        }
+        if let Some(doubt) = verdict.doubt {
+            self.card.doubt.add(now, doubt, SMOOTHING / 2.0);
+        }
+    }
+
     fn listed(&mut self, entry: Entry, room: &Room<Note>) {
         let machine = f64::from(entry.machine);
         let card = &mut self.card;
@@ -267,7 +283,7 @@
         };
         if entry.since != self.listed_since {
             // What was seen of the process before says nothing of the new one.
-            *card = Card { failing: Smooth::at(0.0), pace: Smooth::at(1.0), ..*card };
+            *card = Card { failing: Smooth::at(0.0), doubt: Smooth::at(0.0), pace: Smooth::at(1.0), ..*card };
             (self.since, self.listed_since) = (entry.since, entry.since);
             (self.level, self.level_at) = (0.0, room.now);
         }
@@ -440,11 +456,16 @@
     /// Passed by: fails or drags, whatever the cause, and is not on trial just now.
     fn shunned(&self, ix: PeerIx, room: &mut Room<Note>) -> bool {
         let card = &self.cards[ix];
-        let fails = card.failing.drifted(room.now, 0.0, DRIFT) > FAILING;
+        // Where failures do not tell cache from source, the one that stands out among its like is at fault.
+        let doubt = |c: &Card| c.doubt.drifted(room.now, 0.0, DRIFT);
+        let like = |(i, c): &(usize, &Card)| *i != ix && c.role == card.role && c.open;
+        let least = self.cards.iter().enumerate().filter(like).map(|(_, c)| doubt(c)).fold(1.0, f64::min);
+        let fails = card.failing.drifted(room.now, 0.0, DRIFT) > FAILING || doubt(card) > FAILING + least;
         let drags = card.role == Role::Cache
             && card.pace.drifted(room.now, 1.0, DRIFT) > SLOW * self.pace_median(room.now).max(1.0);
         let silent = card.owed >= OWED && room.now > card.owed_since + SILENT;
-        (fails || drags || silent) && !room.chance(TRIAL)
+        // A peer that is well again is back after a few good answers, whatever it was before.
+        (fails || drags || silent) && !room.chance(TRIAL * f64::from(1 << card.streak))
     }
 
     /// Peers of a role that the lookup may still try, best first by the hash.
@@ -718,18 +739,25 @@
         send.may_have_run = unproven.contains(&o.ending);
         let upstream = matches!(o.remark, Remark::SourceRefused | Remark::SourceLost | Remark::OriginFailed);
         let told = room.rules.text("specifics.says") == "all";
-        // A whole strike for the one at fault where that is told, half for either where it is not.
-        let (cache, source) = match o.ending {
-            Ending::Satisfied => (Some(0.0), Some(0.0)),
-            _ if upstream => (None, Some(f64::from(u8::from(o.remark != Remark::OriginFailed)))),
-            Ending::Error | Ending::Unconnected | Ending::Broken => (Some(1.0), None),
-            Ending::TurnedAway if o.remark == Remark::NoPlace => (None, None),
-            Ending::TurnedAway if told => (Some(1.0), None),
-            Ending::TimedOut | Ending::TurnedAway => (Some(0.5), Some(0.5)),
-            Ending::Cancelled | Ending::Moot | Ending::Miss => (None, None),
+        // Who is at fault: the cache, the source, or either where nothing tells.
+        let (at_cache, at_source, unclear) = match o.ending {
+            _ if upstream => (false, o.remark != Remark::OriginFailed, false),
+            Ending::Unconnected | Ending::Broken => (true, false, false),
+            Ending::TurnedAway if o.remark == Remark::NoPlace => (false, false, false),
+            Ending::Error | Ending::TurnedAway if told || send.source.is_none() => (true, false, false),
+            Ending::Error | Ending::TurnedAway | Ending::TimedOut => (false, false, true),
+            _ => (false, false, false),
         };
-        send.cache_failed = !upstream && o.ending != Ending::Satisfied;
-        send.source_failed = source.is_some_and(|s| s > 0.0) || o.ending == Ending::Miss;
+        let satisfied = o.ending == Ending::Satisfied;
+        let verdict = |at: bool| Verdict {
+            sure: (at || satisfied).then_some(f64::from(u8::from(at))),
+            doubt: (unclear || satisfied).then_some(f64::from(u8::from(unclear))),
+        };
+        // In doubt the one that stands out is left alone next time, and the other tried again.
+        let doubt = |ix: PeerIx| self.cards[ix].doubt.drifted(room.now, 0.0, DRIFT);
+        let source_worse = send.source.is_some_and(|s| doubt(s) > doubt(o.peer));
+        send.cache_failed = !(satisfied || upstream || (unclear && source_worse));
+        send.source_failed = at_source || (unclear && source_worse) || o.ending == Ending::Miss;
         let (at, source_ix, share, fetch, ask) = (send.at, send.source, send.fill, send.fetch, send.ask);
         let look = matches!(ask, Ask::Look | Ask::Stale);
         // A miss that was asked for is no failure: it only tells where to ask next.
@@ -749,7 +777,6 @@
             }
         }
         let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
-        let satisfied = o.ending == Ending::Satisfied;
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
         if let Some(late) = self.late(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
@@ -785,16 +812,18 @@
         let carried = if satisfied { work } else { 0.0 };
         room.tell(
             o.peer,
-            Note::Done { blame: cache.filter(|_| !uncacheable), lost, heard, late, pace, work: carried },
+            Note::Done { verdict: verdict(at_cache && !uncacheable), lost, heard, late, pace, work: carried },
         );
         if let Some(ix) = source_ix {
             let part = if !told || filled { carried } else { 0.0 };
             // Sizes differ far more than parents do: only what goes beyond the object's own time tells of them.
             let took = (o.took.max(room.now - at) - own as Micros).max(0);
-            let heard = matches!(o.ending, Ending::Satisfied | Ending::TimedOut) || upstream;
-            if heard && !(told && satisfied && !filled) {
-                let first_byte = if o.ending == Ending::TimedOut { Some(took) } else { o.first_byte };
-                room.tell(ix, Note::Gave { blame: source, first_byte, took, work: part });
+            if !(told && satisfied && !filled) {
+                let timed_out = o.ending == Ending::TimedOut;
+                let first_byte = if timed_out { Some(took) } else { o.first_byte };
+                // A quick failure is no quick answer.
+                let took = (satisfied || timed_out).then_some(took);
+                room.tell(ix, Note::Gave { verdict: verdict(at_source), first_byte, took, work: part });
             }
         }
         if o.finished || ended {
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -76,6 +76,13 @@
     Foreign,
 }
 
+/// What an outcome says of a peer: a failure (1), none (0), or nothing.
+#[derive(Clone, Copy, Debug)]
+pub struct Verdict {
+    pub sure: Option<f64>,
+    pub doubt: Option<f64>,
+}
+
 /// What a peer posts of itself: all that the desk knows when it chooses.
 #[derive(Clone, Copy, Debug)]
 pub struct Card {
@@ -84,11 +91,15 @@
     pub zone: usize,
     pub weight: f64,
     pub open: bool,
+    /// Failures that were surely its own, and those that may have been.
     pub failing: Smooth,
+    pub doubt: Smooth,
     pub first_byte: Smooth,
     pub latency: Smooth,
     pub pace: Smooth,
     pub carried: Rate,
+    /// Good answers since the last bad one.
+    pub streak: u32,
     /// Sends out since anything was heard, and since when.
     pub owed: u32,
     pub owed_since: Micros,
@@ -102,7 +113,7 @@
     Carry(Bid),
     /// To the cache that a send went to.
     Done {
-        blame: Option<f64>,
+        verdict: Verdict,
         lost: bool,
         heard: bool,
         late: Option<bool>,
@@ -111,9 +122,9 @@
     },
     /// To the source that it named.
     Gave {
-        blame: Option<f64>,
+        verdict: Verdict,
         first_byte: Option<Micros>,
-        took: Micros,
+        took: Option<Micros>,
         work: f64,
     },
     /// To the desk.
