Trials by time; nacks say a spread, short time to come back

Nacks named a fixed half second, so that all came back together. It might harm where clients come back many times: they then do so sooner.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -39,8 +39,9 @@
 /// location, is passed by, but for a few trials.
 const FAILING: f64 = 0.15;
 const SLOW: f64 = 2.5;
-const TRIAL: f64 = 0.04;
-/// Good answers in a row that are counted; each doubles the trials.
+/// Time between trials, whatever the traffic: a trial costs a lookup.
+const TRIAL_REST: Micros = 2 * SEC;
+/// Good answers in a row that are counted; each halves the time to the next trial.
 const STREAK: u32 = 5;
 /// What may be out at once through a gate: at first, at least, a step up for each that came in time, and what a
 /// cut leaves. A large front is held back at first, for as long as a few hundred answers take.
@@ -196,6 +197,7 @@
             pace: Smooth::at(1.0),
             carried: Rate::default(),
             streak: 0,
+            tried_at: 0,
             owed: 0,
             owed_since: 0,
         };
@@ -208,12 +210,11 @@
             Note::Listed(entry) => self.listed(entry, room),
             Note::Unlisted => self.card.open = false,
             Note::Lend(bid) => {
-                let passed = self.admits(room, bid.fill_work, bid.fill_norm);
-                match passed {
-                    true => room.tell(bid.cache, Note::Carry(bid)),
-                    false => room.tell_desk(Note::Turned(bid, self.ix)),
+                if !self.admits(room, bid.fill_work, bid.fill_norm) {
+                    return room.tell_desk(Note::Turned(bid, self.ix));
                 }
-                return;
+                self.card.tried_at = now;
+                room.tell(bid.cache, Note::Carry(bid));
             }
             Note::Carry(bid) => return self.carry(bid, room),
             Note::Done { verdict, lost, heard, late, pace, work } => {
@@ -303,6 +304,7 @@
             return room.tell_desk(Note::Turned(bid, self.ix));
         }
         self.gate.enter(1.0);
+        self.card.tried_at = room.now;
         if self.card.owed == 0 {
             self.card.owed_since = room.now;
         }
@@ -454,7 +456,7 @@
     }
 
     /// Passed by: fails or drags, whatever the cause, and is not on trial just now.
-    fn shunned(&self, ix: PeerIx, room: &mut Room<Note>) -> bool {
+    fn shunned(&self, ix: PeerIx, room: &Room<Note>) -> bool {
         let card = &self.cards[ix];
         // Where failures do not tell cache from source, the one that stands out among its like is at fault.
         let doubt = |c: &Card| c.doubt.drifted(room.now, 0.0, DRIFT);
@@ -465,7 +467,7 @@
             && card.pace.drifted(room.now, 1.0, DRIFT) > SLOW * self.pace_median(room.now).max(1.0);
         let silent = card.owed >= OWED && room.now > card.owed_since + SILENT;
         // A peer that is well again is back after a few good answers, whatever it was before.
-        (fails || drags || silent) && !room.chance(TRIAL * f64::from(1 << card.streak))
+        (fails || drags || silent) && room.now < card.tried_at + (TRIAL_REST >> card.streak)
     }
 
     /// Peers of a role that the lookup may still try, best first by the hash.
@@ -487,7 +489,7 @@
     }
 
     /// The design's companion: of two parents by the object's hash the one with the lower figure.
-    fn source(&self, held: &Held, room: &mut Room<Note>) -> Option<PeerIx> {
+    fn source(&self, held: &Held, room: &Room<Note>) -> Option<PeerIx> {
         let origin = self.order(held, Role::Origin, 0).first().copied();
         let all = self.order(held, Role::Parent, 0);
         let up: Vec<PeerIx> = all.iter().copied().filter(|ix| !self.shunned(*ix, room)).take(2).collect();
@@ -720,7 +722,9 @@
                 Repeat::SideEffecting => false,
             });
         let most = room.rules.span("limits.max_retry_after_s", 0.0);
-        let come_back = if room.rules.is("limits.retry_after") { most.min(SEC / 2) } else { 0 };
+        // Spread, lest all that a jam turned down come back together.
+        let wait = SEC / 100 + (room.draw() * SEC as f64 / 2.0) as Micros;
+        let come_back = if room.rules.is("limits.retry_after") { most.min(wait) } else { 0 };
         room.out.push(if harmless { Action::Nack { id, come_back } } else { Action::Fail { id } });
         self.close(id, room);
     }
--- a/crates/core/src/room.rs
+++ b/crates/core/src/room.rs
@@ -149,10 +149,11 @@
         self.turns.push_back(to);
     }
 
-    pub fn chance(&mut self, of: f64) -> bool {
+    /// A number from 0 up to 1, by seed and count.
+    pub fn draw(&mut self) -> f64 {
         self.draws += 1;
         let mut hasher = DefaultHasher::new();
         (self.seed, self.draws).hash(&mut hasher);
-        ((hasher.finish() >> 11) as f64) < of * (1u64 << 53) as f64
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
     }
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -100,6 +100,7 @@
     pub carried: Rate,
     /// Good answers since the last bad one.
     pub streak: u32,
+    pub tried_at: Micros,
     /// Sends out since anything was heard, and since when.
     pub owed: u32,
     pub owed_since: Micros,
