Take second copies out; a cold machine's share by its told size where told

Early time-outs now act everywhere. The share of a cold machine no longer takes the greater of two measures where sizes are told: with uneven fronts the two could have added up to more than the limit.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -15,8 +15,6 @@
 use std::collections::BTreeMap;
 
 const SEC: Micros = 1_000_000;
-/// Names the ring after which discovery is asked again; no lookup has this id.
-const ASK_AGAIN: u32 = u32::MAX;
 /// Tail drop factor, and how long the estimate of a length and the sight of a part last (design page).
 const NU: f64 = 0.9;
 const LENGTH_LIFE: Micros = 300 * SEC;
@@ -33,8 +31,6 @@
 /// Extra sends earned by a first send, and how many can be saved up.
 const EXTRA_EARNED: f64 = 0.2;
 const EXTRA_SAVED: f64 = 20.0;
-/// What a second copy costs of them: one may be mistaken, and then it only adds to the load.
-const COPY_COST: f64 = 5.0;
 /// A peer that fails this share of what it gets, or a cache so many times slower than the median of its
 /// location, is passed by, but for a few trials.
 const FAILING: f64 = 0.15;
@@ -343,7 +339,8 @@
             return true;
         }
         let share = from + (1.0 - from) * up as f64 / warm as f64;
-        let norm = norm.max(self.card.weight * SEC as f64 / fronts.max(1.0));
+        let part = self.card.weight * SEC as f64 / fronts.max(1.0);
+        let norm = if rules.text("weight_kind") == "off" { norm.max(part) } else { part };
         let rate = factor * share * norm * COLD_USE / SEC as f64;
         let window = rate * rules.span("guarantees.overload_for_s", 1.0) as f64;
         self.level = (self.level - rate * (room.now - self.level_at) as f64).max(0.0);
@@ -585,7 +582,7 @@
             Ask::Held => (1.0, 0.0),
             Ask::Fetch => (1.0, 1.0),
         };
-        let last = held.sends.len() + 1 >= cap || room.rules.is("limits.may_duplicate");
+        let last = held.sends.len() + 1 >= cap;
         let work = kind.map_or(SEC as f64, |k| k.work);
         let norm = |role| self.average(role, |c| Some(c.carried.value(now, DRIFT))).unwrap_or(0.0);
         let bid = Bid {
@@ -647,35 +644,6 @@
         });
         self.fills.enter(bid.share);
         self.fetches.enter(bid.fetch);
-        let (first, lk) = (held.sends.len() == 1, held.lk);
-        let Some(kind) = self.kinds.get(lk.kind) else {
-            return;
-        };
-        if first && room.rules.is("limits.may_duplicate") && kind.repeat == Repeat::Idempotent {
-            // A second copy goes out while it can still come within the latency budget.
-            let own = self.own_work(&lk, room);
-            let budget = kind.budget as f64 + kind.stretch * own;
-            let at = room.now + (budget - own - 0.3 * kind.budget as f64) as Micros;
-            if at < lk.expires {
-                room.out.push(Action::Ring { at, token: lk.id });
-            }
-        }
-    }
-
-    fn rang(&mut self, id: u32, room: &mut Room<Note>) {
-        let Some(held) = self.lookups.get(&id) else { return };
-        if !held.ended
-            && !held.began
-            && held.sends.len() == 1
-            && self.extra >= COPY_COST
-            && self.may_send(held, room)
-            // Second copies are for a straggler, not for a jam.
-            && !self.fills.pressed(0.0)
-            && !self.fetches.pressed(0.0)
-        {
-            self.extra -= COPY_COST;
-            self.plan(id, room);
-        }
     }
 
     fn began(&mut self, id: u32) {
@@ -913,7 +881,7 @@
             Event::Began { id } => desk.began(id),
             Event::Ended(outcome) => desk.ended(outcome, room),
             Event::Left { id } => desk.left(id, room),
-            Event::Rang { token } => self.rang(token),
+            Event::Rang { .. } => room.out.push(Action::Subscribe),
             Event::Purged { object, group, ago } => {
                 let name = (object, if object.is_some() { 0 } else { group });
                 let last = desk.purged.get(now, name).unwrap_or(Micros::MIN);
@@ -939,14 +907,6 @@
         }
     }
 
-    fn rang(&mut self, token: u32) {
-        if token == ASK_AGAIN {
-            self.room.out.push(Action::Subscribe);
-        } else {
-            self.desk.rang(token, &mut self.room);
-        }
-    }
-
     fn listed(&mut self, listing: Listing) {
         let entries = match listing {
             Listing::Full(entries) => {
@@ -958,7 +918,7 @@
             Listing::Delta(entries) => entries,
             Listing::Failed => {
                 if self.room.rules.text("registry_mode") == "on_request" {
-                    self.room.out.push(Action::Ring { at: self.room.now + SEC, token: ASK_AGAIN });
+                    self.room.out.push(Action::Ring { at: self.room.now + SEC, token: 0 });
                 }
                 return;
             }
