--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -15,6 +15,7 @@
     front: Front,
     index: HashMap<Address, PeerIx>,
     address: Vec<Address>,
+    free: Vec<PeerIx>,
 }
 
 #[derive(Default)]
@@ -68,9 +69,16 @@
 
 impl Instance {
     fn peer(&mut self, address: Address) -> PeerIx {
-        *self.index.entry(address).or_insert_with(|| {
-            self.address.push(address);
-            self.address.len() - 1
+        let (addresses, free) = (&mut self.address, &mut self.free);
+        *self.index.entry(address).or_insert_with(|| match free.pop() {
+            Some(ix) => {
+                addresses[ix] = address;
+                ix
+            }
+            None => {
+                addresses.push(address);
+                addresses.len() - 1
+            }
         })
     }
 
@@ -144,8 +152,8 @@
         })
     }
 
-    fn deed(&self, action: Action) -> Deed {
-        match action {
+    fn deed(&mut self, action: Action) -> Option<Deed> {
+        Some(match action {
             Action::Send { id, peer, time_out, fill: None } => {
                 Deed::Route { id, cache: self.address[peer], limit_s: seconds(time_out) }
             }
@@ -164,7 +172,12 @@
             Action::Ring { at, token } => Deed::Defer { alarm_time_s: seconds(at), handle: token },
             Action::Subscribe => Deed::Track(true),
             Action::Log(text) => Deed::Emit(text),
-        }
+            Action::Forget { peer } => {
+                self.index.remove(&self.address[peer]);
+                self.free.push(peer);
+                return None;
+            }
+        })
     }
 }
 
@@ -202,8 +215,10 @@
                     .collect();
                 catch_unwind(AssertUnwindSafe(|| Front::start(prng, settings, now, &mut actions))).map(
                     |front| {
-                        self.instances
-                            .insert(id, Instance { front, index: HashMap::new(), address: Vec::new() });
+                        self.instances.insert(
+                            id,
+                            Instance { front, index: HashMap::new(), address: Vec::new(), free: Vec::new() },
+                        );
                     },
                 )
             } else {
@@ -222,8 +237,8 @@
                 deeds.push(Deed::GiveIn(format!("decision code: {text}")));
                 return Ok(deeds);
             }
-            if let Some(instance) = self.instances.get(&id) {
-                deeds.extend(actions.into_iter().map(|action| instance.deed(action)));
+            if let Some(instance) = self.instances.get_mut(&id) {
+                deeds.extend(actions.into_iter().filter_map(|action| instance.deed(action)));
             }
         }
         Ok(deeds)
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -26,15 +26,15 @@
 /// The same for the figures that choose between parents: a weight that lets no single send turn the choice.
 const SOURCE_SMOOTHING: f64 = 0.05;
 const DRIFT: f64 = 10.0 * SEC as f64;
+/// How long a machine that has left the list is remembered.
+const GONE_LIFE: Micros = 3600 * SEC;
 /// Entries that any memory of objects may hold.
 const MEMORY: usize = 50_000;
 /// Extra sends earned by a first send, and how many can be saved up.
 const EXTRA_EARNED: f64 = 0.2;
 const EXTRA_SAVED: f64 = 20.0;
-/// A peer that fails this share of what it gets, or a cache so many times slower than the median of its
-/// location, is passed by, but for a few trials.
+/// A peer that fails this share of what it gets is passed by, but for a few trials.
 const FAILING: f64 = 0.15;
-const SLOW: f64 = 2.5;
 /// Time between trials, whatever the traffic: a trial costs a lookup.
 const TRIAL_REST: Micros = 2 * SEC;
 /// Good answers in a row that are counted; each halves the time to the next trial.
@@ -172,6 +172,8 @@
     /// When it came up: by the list, or as presumed from its silence since.
     since: Micros,
     listed_since: Micros,
+    /// When it left the list.
+    gone_at: Option<Micros>,
     gate: Gate,
     /// Work let in while cold that time has not worked off yet.
     level: f64,
@@ -197,14 +199,33 @@
             owed: 0,
             owed_since: 0,
         };
-        Peer { ix, card, gate: Gate::new(), since: 0, listed_since: 0, level: 0.0, level_at: 0 }
+        Peer {
+            ix,
+            card,
+            gone_at: None,
+            gate: Gate::new(),
+            since: 0,
+            listed_since: 0,
+            level: 0.0,
+            level_at: 0,
+        }
     }
 
     fn read(&mut self, note: Note, room: &mut Room<Note>) {
         let now = room.now;
         match note {
             Note::Listed(entry) => self.listed(entry, room),
-            Note::Unlisted => self.card.open = false,
+            Note::Unlisted => {
+                self.card.open = false;
+                self.gone_at = self.gone_at.or(Some(now));
+            }
+            // Bounds what machines long replaced take up. One that still owes an outcome stays.
+            Note::Sweep => {
+                if self.gate.out == 0.0 && self.gone_at.is_some_and(|at| at + GONE_LIFE < now) {
+                    *self = Peer::new(self.ix);
+                    room.out.push(Action::Forget { peer: self.ix });
+                }
+            }
             Note::Lend(bid) => {
                 if !self.admits(room, bid.fill_work, bid.fill_norm) {
                     return room.tell_desk(Note::Turned(bid, self.ix));
@@ -222,7 +243,7 @@
                     let (id, window) = (self.card.stable, self.gate.window);
                     room.out.push(Action::Log(format!("gate of {id:012x} cut to {window:.0}")));
                 }
-                self.judged(now, verdict, pace.is_some_and(|p| p > SLOW));
+                self.judged(now, verdict);
                 // Guards against pushing over what restarts before the list tells: a machine that nothing
                 // reaches is held to be as cold as if it came up this moment.
                 if lost && self.card.failing.drifted(now, 0.0, DRIFT) > FAILING {
@@ -238,7 +259,7 @@
                 self.card.carried.add(now, work, DRIFT);
             }
             Note::Gave { verdict, first_byte, took, work } => {
-                self.judged(now, verdict, false);
+                self.judged(now, verdict);
                 if let Some(first_byte) = first_byte {
                     self.card.first_byte.add(now, first_byte as f64, SOURCE_SMOOTHING);
                 }
@@ -252,9 +273,9 @@
         room.tell_desk(Note::Posted(self.ix, self.card));
     }
 
-    fn judged(&mut self, now: Micros, verdict: Verdict, dragged: bool) {
+    fn judged(&mut self, now: Micros, verdict: Verdict) {
         match verdict.sure.into_iter().chain(verdict.doubt).reduce(f64::max) {
-            Some(failed) if failed > 0.0 || dragged => self.card.streak = 0,
+            Some(failed) if failed > 0.0 => self.card.streak = 0,
             Some(_) => self.card.streak = (self.card.streak + 1).min(STREAK),
             None => {}
         }
@@ -288,6 +309,7 @@
         card.zone = usize::from(entry.zone);
         card.weight = if room.rules.text("weight_kind") == "off" { 1.0 } else { entry.weight.max(0.01) };
         card.open = entry.standing == Standing::Ready;
+        self.gone_at = if entry.standing == Standing::Gone { self.gone_at.or(Some(room.now)) } else { None };
     }
 
     /// The only place from which sends go out. Guards rules 3 and 4 for the cache; [`Note::Lend`] has done
@@ -445,14 +467,8 @@
         (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64)
     }
 
-    fn pace_median(&self, now: Micros) -> f64 {
-        let caches = self.cards.iter().filter(|c| c.role == Role::Cache && c.open);
-        let mut paces: Vec<f64> = caches.map(|c| c.pace.drifted(now, 1.0, DRIFT)).collect();
-        paces.sort_by(f64::total_cmp);
-        paces.get((paces.len().max(1) - 1) / 2).copied().unwrap_or(1.0)
-    }
-
-    /// Passed by: fails or drags, whatever the cause, and is not on trial just now.
+    /// Passed by: fails or owes answers, whatever the cause, and is not on trial just now. A slow cache is not
+    /// passed by: its gate takes as much as it can do in time, and elsewhere it would only be a miss.
     fn shunned(&self, ix: PeerIx, room: &Room<Note>) -> bool {
         let card = &self.cards[ix];
         // Where failures do not tell cache from source, the one that stands out among its like is at fault.
@@ -460,11 +476,9 @@
         let like = |(i, c): &(usize, &Card)| *i != ix && c.role == card.role && c.open;
         let least = self.cards.iter().enumerate().filter(like).map(|(_, c)| doubt(c)).fold(1.0, f64::min);
         let fails = card.failing.drifted(room.now, 0.0, DRIFT) > FAILING || doubt(card) > FAILING + least;
-        let drags = card.role == Role::Cache
-            && card.pace.drifted(room.now, 1.0, DRIFT) > SLOW * self.pace_median(room.now).max(1.0);
         let silent = card.owed >= OWED && room.now > card.owed_since + SILENT;
         // A peer that is well again is back after a few good answers, whatever it was before.
-        (fails || drags || silent) && room.now < card.tried_at + (TRIAL_REST >> card.streak)
+        (fails || silent) && room.now < card.tried_at + (TRIAL_REST >> card.streak)
     }
 
     /// Peers of a role that the lookup may still try, best first by the hash.
@@ -926,5 +940,8 @@
         for entry in entries {
             self.room.tell(entry.peer, Note::Listed(entry));
         }
+        for ix in 0..self.peers.len() {
+            self.room.tell(ix, Note::Sweep);
+        }
     }
 }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -8,7 +8,8 @@
 
 /// A moment or a span, in whole microseconds.
 pub type Micros = i64;
-/// Small index of a cache, parent or origin; the host gives them out from 0 and never reuses one.
+/// Small index of a cache, parent or origin; the host gives them out from 0, and one again once it is forgotten
+/// ([`Action::Forget`]).
 pub type PeerIx = usize;
 /// Settings as names and values; unknown names are harmless.
 pub type Settings = BTreeMap<String, String>;
@@ -179,5 +180,9 @@
         token: u32,
     },
     Subscribe,
+    /// The index is free again: its machine left the list long ago, and nothing is out there.
+    Forget {
+        peer: PeerIx,
+    },
     Log(String),
 }
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -110,6 +110,7 @@
 pub enum Note {
     Listed(Entry),
     Unlisted,
+    Sweep,
     Lend(Bid),
     Carry(Bid),
     /// To the cache that a send went to.
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -8,7 +8,7 @@
 //! - `T end ID SEND ENDING [took=] [remark=] [byte=]` ends a send; `T left ID`; `T purge object=|group= ago=`.
 //! - `expect ID send [to=] [from=] [keep=] [age=] [age<=] [out<=]` takes the next action for the lookup, as do
 //!   `expect ID nack [back>=]`, `expect ID fail`; `expect ID nothing` holds when there is none; `expect
-//!   subscribe` counts a call. `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
+//!   subscribe` counts a call, `expect forgotten NAME ...` what was forgotten since. `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
 //! - `count NAME FROM TO LEAST MOST` bounds the sends that reached a machine, or named it as source, between
 //!   two moments.
 
@@ -28,6 +28,7 @@
     log: Vec<(Micros, PeerIx)>,
     rings: Vec<(Micros, u32)>,
     subscribed: usize,
+    forgotten: Vec<PeerIx>,
 }
 
 fn time(text: &str) -> Micros {
@@ -80,6 +81,7 @@
                 }
                 Action::Ring { at, token } => self.rings.push((at, token)),
                 Action::Subscribe => self.subscribed += 1,
+                Action::Forget { peer } => self.forgotten.push(peer),
                 Action::Cancel { .. } | Action::Log(_) => {}
             }
         }
@@ -129,6 +131,10 @@
         if words[0] == "subscribe" {
             return std::mem::take(&mut self.subscribed) == 1;
         }
+        if words[0] == "forgotten" {
+            let names: Vec<&str> = self.forgotten.drain(..).map(|ix| self.names[ix].as_str()).collect();
+            return names == words[1..];
+        }
         let id: u32 = words[0].parse().unwrap();
         let next = self.queue.entry(id).or_default().pop_front();
         match (words[1], next) {
@@ -259,5 +265,5 @@
 scenarios! {
     one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges
     tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache well_again failing_parent
-    room_in_budget silent_cache no_sound_cache restarted_front discovery bare_settings
+    room_in_budget silent_cache no_sound_cache restarted_front discovery replaced_machine bare_settings
 }
