--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -43,7 +43,7 @@
 /// cut leaves. A large front is held back at first, for as long as a few hundred answers take.
 const WINDOW: f64 = 16.0;
 const WINDOW_LEAST: f64 = 2.0;
-const WINDOW_STEP: f64 = 0.2;
+const WINDOW_STEP: f64 = 0.1;
 const WINDOW_BACK: f64 = 0.8;
 const WINDOW_REST: Micros = SEC / 4;
 /// A log line about the same thing comes at most so often.
