Pass by only what stands out among its like; lost means three sends in a row

It answers any failure that many share (flaky links, a failing parent, a failing origin) by staying with the design's hash; it might hurt where all but one of a location are dying, until they are lost.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -35,6 +35,8 @@
 const EXTRA_SAVED: f64 = 20.0;
 /// A peer that fails this share of what it gets is passed by, but for a few trials.
 const FAILING: f64 = 0.15;
+/// A machine that so many sends in a row have not reached is held to be lost.
+const LOST: u32 = 3;
 /// Time between trials, whatever the traffic: a trial costs a lookup.
 const TRIAL_REST: Micros = 2 * SEC;
 /// Good answers in a row that are counted; each halves the time to the next trial.
@@ -196,6 +198,7 @@
             carried: Rate::default(),
             streak: 0,
             tried_at: 0,
+            lost: 0,
             owed: 0,
             owed_since: 0,
         };
@@ -236,7 +239,7 @@
             Note::Carry(bid) => return self.carry(bid, room),
             Note::Done { verdict, lost, heard, late, pace, work } => {
                 if heard {
-                    self.card.owed = 0;
+                    (self.card.owed, self.card.lost) = (0, 0);
                 }
                 self.gate.leave(1.0);
                 if late.is_some_and(|late| self.gate.judge(now, late, 1.0)) {
@@ -246,7 +249,8 @@
                 self.judged(now, verdict);
                 // Guards against pushing over what restarts before the list tells: a machine that nothing
                 // reaches is held to be as cold as if it came up this moment.
-                if lost && self.card.failing.drifted(now, 0.0, DRIFT) > FAILING {
+                self.card.lost += u32::from(lost);
+                if lost && self.card.lost >= LOST {
                     if now > self.since + SAY_REST {
                         let id = self.card.stable;
                         room.out.push(Action::Log(format!("{id:012x} unreached: held cold")));
@@ -471,11 +475,17 @@
     /// passed by: its gate takes as much as it can do in time, and elsewhere it would only be a miss.
     fn shunned(&self, ix: PeerIx, room: &Room<Note>) -> bool {
         let card = &self.cards[ix];
-        // Where failures do not tell cache from source, the one that stands out among its like is at fault.
-        let doubt = |c: &Card| c.doubt.drifted(room.now, 0.0, DRIFT);
-        let like = |(i, c): &(usize, &Card)| *i != ix && c.role == card.role && c.open;
-        let least = self.cards.iter().enumerate().filter(like).map(|(_, c)| doubt(c)).fold(1.0, f64::min);
-        let fails = card.failing.drifted(room.now, 0.0, DRIFT) > FAILING || doubt(card) > FAILING + least;
+        // What fails is what stands out among its like. Failures that all share come from elsewhere, and with most
+        // of a location passed by the rest would be run over.
+        let rate = |c: &Card| {
+            let (sure, doubt) =
+                (c.failing.drifted(room.now, 0.0, DRIFT), c.doubt.drifted(room.now, 0.0, DRIFT));
+            sure.max(doubt)
+        };
+        let others = |(i, c): &(usize, &Card)| *i != ix && c.role == card.role && c.open;
+        let others: Vec<f64> = self.cards.iter().enumerate().filter(others).map(|(_, c)| rate(c)).collect();
+        let usual = others.iter().sum::<f64>() / others.len().max(1) as f64;
+        let fails = card.lost >= LOST || rate(card) > FAILING + usual;
         let silent = card.owed >= OWED && room.now > card.owed_since + SILENT;
         // A peer that is well again is back after a few good answers, whatever it was before.
         (fails || silent) && room.now < card.tried_at + (TRIAL_REST >> card.streak)
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -101,6 +101,8 @@
     /// Good answers since the last bad one.
     pub streak: u32,
     pub tried_at: Micros,
+    /// Sends that did not reach it since anything was heard.
+    pub lost: u32,
     /// Sends out since anything was heard, and since when.
     pub owed: u32,
     pub owed_since: Micros,
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -264,6 +264,6 @@
 
 scenarios! {
     one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges
-    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache well_again failing_parent
+    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache well_again shared_failures failing_parent
     room_in_budget silent_cache no_sound_cache restarted_front discovery replaced_machine bare_settings
 }
