--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -10,7 +10,7 @@
 //! then the cache's guard, and only that emits it ([`Peer::carry`]). All final answers leave by [`Desk::end`].
 
 use crate::interface::*;
-use crate::room::{Memory, Rate, Room, Rules, Smooth};
+use crate::room::{Memory, Room, Rules, Smooth};
 use crate::state::{Ask, Bid, Card, Held, Kind, Note, Repeat, Role, Sent, Verdict};
 use std::collections::BTreeMap;
 
@@ -136,29 +136,6 @@
 }
 
 impl Kind {
-    fn read(rules: &Rules, k: usize) -> Kind {
-        let name = |what: &str| format!("classes.{k}.{what}");
-        let budget = rules.span(&name("goal_time_s"), 1.0);
-        Kind {
-            repeat: match rules.text(&name("repeat")) {
-                "safe" => Repeat::Idempotent,
-                "keyed" => Repeat::Deduplicated,
-                _ => Repeat::SideEffecting,
-            },
-            group: rules.text(&name("group")).to_string(),
-            window: rules.span(&name("key_ttl_s"), 0.0),
-            budget,
-            stretch: rules.num(&name("aim_stretch"), 0.0),
-            fresh: (rules.item_num("specifics.max_age_s", k) * SEC as f64) as Micros,
-            grace: (rules.item_num("specifics.stale_for_s", k) * SEC as f64) as Micros,
-            uncacheable: rules.item("specifics.goes_through", k) == "true",
-            // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
-            work: budget as f64,
-            recent: budget as f64,
-            seen: 1.0,
-        }
-    }
-
     fn learn(&mut self, work: f64, told: bool) {
         self.recent += (work - self.recent) / self.seen;
         self.seen = (self.seen + 1.0).min(if told { 500.0 } else { 50.0 });
@@ -184,27 +161,9 @@
 
 impl Peer {
     fn new(ix: PeerIx) -> Peer {
-        let card = Card {
-            role: Role::Foreign,
-            stable: 0,
-            zone: 0,
-            weight: 1.0,
-            open: false,
-            failing: Smooth::at(0.0),
-            doubt: Smooth::at(0.0),
-            first_byte: Smooth::default(),
-            latency: Smooth::default(),
-            pace: Smooth::at(1.0),
-            carried: Rate::default(),
-            streak: 0,
-            tried_at: 0,
-            lost: 0,
-            owed: 0,
-            owed_since: 0,
-        };
         Peer {
             ix,
-            card,
+            card: Card::new(),
             gone_at: None,
             gate: Gate::new(),
             since: 0,
@@ -401,7 +360,7 @@
         match note {
             Note::Posted(ix, card) => {
                 while self.cards.len() <= ix {
-                    self.cards.push(Peer::new(ix).card);
+                    self.cards.push(Card::new());
                 }
                 self.cards[ix] = card;
             }
@@ -629,10 +588,9 @@
         }
     }
 
-    /// Rule 2, and no two sends at once where that is not allowed.
+    /// Rule 2, and never two sends at once.
     fn may_send(&self, held: &Held, room: &Room<Note>) -> bool {
-        let out = held.sends.iter().any(|s| s.out);
-        if out && !room.rules.is("limits.may_duplicate") {
+        if held.sends.iter().any(|s| s.out) {
             return false;
         }
         let Some(first) = held.sends.iter().find(|s| s.may_have_run) else {
@@ -644,7 +602,7 @@
         match kind.repeat {
             Repeat::Idempotent => true,
             // Nearer groups than all would need a cache of the same group; the front does without.
-            Repeat::Deduplicated => kind.group == "all" && room.now < first.at + kind.window && !out,
+            Repeat::Deduplicated => kind.group == "all" && room.now < first.at + kind.window,
             Repeat::SideEffecting => false,
         }
     }
@@ -701,10 +659,6 @@
         let Some(held) = self.lookups.get_mut(&id).filter(|h| !h.ended) else {
             return;
         };
-        // Another send may still satisfy it.
-        if held.sends.iter().any(|s| s.out) && held.lk.expires > room.now {
-            return;
-        }
         held.ended = true;
         let ran = held.sends.iter().any(|s| s.may_have_run);
         let harmless = !ran
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -1,7 +1,7 @@
 //! What the decision module keeps, grouped by how long it lives: no decision and no value of its own.
 
 use crate::interface::{Entry, Fill, Lookup, Micros, PeerIx};
-use crate::room::{Rate, Smooth};
+use crate::room::{Rate, Rules, Smooth};
 
 // For one send.
 
@@ -108,6 +108,30 @@
     pub owed_since: Micros,
 }
 
+impl Card {
+    /// Of a peer of which nothing is known.
+    pub fn new() -> Card {
+        Card {
+            role: Role::Foreign,
+            stable: 0,
+            zone: 0,
+            weight: 1.0,
+            open: false,
+            failing: Smooth::at(0.0),
+            doubt: Smooth::at(0.0),
+            first_byte: Smooth::default(),
+            latency: Smooth::default(),
+            pace: Smooth::at(1.0),
+            carried: Rate::default(),
+            streak: 0,
+            tried_at: 0,
+            lost: 0,
+            owed: 0,
+            owed_since: 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub enum Note {
     Listed(Entry),
@@ -161,3 +185,29 @@
     pub recent: f64,
     pub seen: f64,
 }
+
+impl Kind {
+    /// From the settings; what is not told is taken for nothing, or for a second where nothing would not do.
+    pub fn read(rules: &Rules, k: usize) -> Kind {
+        let name = |what: &str| format!("classes.{k}.{what}");
+        let budget = rules.span(&name("goal_time_s"), 1.0);
+        Kind {
+            repeat: match rules.text(&name("repeat")) {
+                "safe" => Repeat::Idempotent,
+                "keyed" => Repeat::Deduplicated,
+                _ => Repeat::SideEffecting,
+            },
+            group: rules.text(&name("group")).to_string(),
+            window: rules.span(&name("key_ttl_s"), 0.0),
+            budget,
+            stretch: rules.num(&name("aim_stretch"), 0.0),
+            fresh: (rules.item_num("specifics.max_age_s", k) * 1e6) as Micros,
+            grace: (rules.item_num("specifics.stale_for_s", k) * 1e6) as Micros,
+            uncacheable: rules.item("specifics.goes_through", k) == "true",
+            // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
+            work: budget as f64,
+            recent: budget as f64,
+            seen: 1.0,
+        }
+    }
+}
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -5,8 +5,9 @@
 //!   `T unlisted` a failed call.
 //! - `T ask ID [object=] [part=] [size=] [kind=] [group=] [until=]` brings a lookup, `T flood FROM N SPAN ...`
 //!   N of them, each for an object of its own, over SPAN seconds.
-//! - `T end ID SEND ENDING [took=] [remark=] [byte=]` ends a send; `T left ID`; `T purge object=|group= ago=`.
-//! - `expect ID send [to=] [from=] [keep=] [age=] [age<=] [out<=]` takes the next action for the lookup, as do
+//! - `T end ID SEND ENDING [took=] [remark=] [byte=]` ends a send, `T answer FROM N NAME ENDING ...` the first
+//!   sends of N lookups as far as they went to NAME; `T left ID`; `T purge object=|group= ago=`.
+//! - `expect ID send [to=] [from=] [keep=] [held=] [age=] [age<=] [out<=]` takes the next action for the lookup, as do
 //!   `expect ID nack [back>=]`, `expect ID fail`; `expect ID nothing` holds when there is none; `expect
 //!   subscribe` counts a call, `expect forgotten NAME ...` what was forgotten since. `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
 //! - `count NAME FROM TO LEAST MOST` bounds the sends that reached a machine, or named it as source, between
@@ -150,6 +151,7 @@
                     "to" => self.same(value, peer),
                     "from" => self.same(value, fill.source),
                     "keep" => fill.keep.to_string() == value,
+                    "held" => fill.held_only.to_string() == value,
                     "age" => fill.age == time(value),
                     "age<" => fill.age > 0 && fill.age <= time(value),
                     "out<" => time_out <= time(value),
@@ -180,6 +182,36 @@
         true
     }
 
+    fn outcome(&self, id: u32, send: u8, words: &[&str]) -> Event {
+        let ending = match words[0] {
+            "satisfied" => Ending::Satisfied,
+            "error" => Ending::Error,
+            "turned-away" => Ending::TurnedAway,
+            "timed-out" => Ending::TimedOut,
+            "unconnected" => Ending::Unconnected,
+            "miss" => Ending::Miss,
+            other => panic!("unknown ending {other}"),
+        };
+        Event::Ended(Outcome {
+            id,
+            send,
+            peer: self.sends[&id][usize::from(send)],
+            ending,
+            took: time(option(words, "took").unwrap_or("0.05")),
+            finished: ending == Ending::Satisfied,
+            remark: match option(words, "remark") {
+                Some("hit") => Remark::Hit,
+                Some("filled") => Remark::Filled,
+                Some("origin") => Remark::FilledFromOrigin,
+                Some("source-lost") => Remark::SourceLost,
+                Some(other) => panic!("unknown remark {other}"),
+                None => Remark::None,
+            },
+            first_byte: option(words, "byte").map(time),
+            report: Vec::new(),
+        })
+    }
+
     fn event(&mut self, now: Micros, verb: &str, words: &[&str]) {
         let event = match verb {
             "start" => {
@@ -208,34 +240,18 @@
                 }
                 return;
             }
-            "end" => {
-                let (id, send): (u32, u8) = (words[0].parse().unwrap(), words[1].parse().unwrap());
-                let ending = match words[2] {
-                    "satisfied" => Ending::Satisfied,
-                    "error" => Ending::Error,
-                    "turned-away" => Ending::TurnedAway,
-                    "timed-out" => Ending::TimedOut,
-                    "unconnected" => Ending::Unconnected,
-                    "miss" => Ending::Miss,
-                    other => panic!("unknown ending {other}"),
-                };
-                Event::Ended(Outcome {
-                    id,
-                    send,
-                    peer: self.sends[&id][usize::from(send)],
-                    ending,
-                    took: time(option(words, "took").unwrap_or("0.05")),
-                    finished: ending == Ending::Satisfied,
-                    remark: match option(words, "remark") {
-                        Some("hit") => Remark::Hit,
-                        Some("filled") => Remark::Filled,
-                        Some("source-lost") => Remark::SourceLost,
-                        Some(other) => panic!("unknown remark {other}"),
-                        None => Remark::None,
-                    },
-                    first_byte: option(words, "byte").map(time),
-                    report: Vec::new(),
-                })
+            "end" => self.outcome(words[0].parse().unwrap(), words[1].parse().unwrap(), &words[2..]),
+            "answer" => {
+                let (from, n): (u32, u32) = (words[0].parse().unwrap(), words[1].parse().unwrap());
+                let peer = self.peer(words[2]);
+                for id in from..from + n {
+                    if self.sends.get(&id).is_none_or(|sends| sends[0] != peer) {
+                        continue;
+                    }
+                    let event = self.outcome(id, 0, &words[3..]);
+                    self.hear(now, event);
+                }
+                return;
             }
             "left" => Event::Left { id: words[0].parse().unwrap() },
             "purge" => Event::Purged {
@@ -264,6 +280,6 @@
 
 scenarios! {
     one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges
-    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache well_again shared_failures failing_parent
+    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache well_again shared_failures parent_copies send_cap failing_parent
     room_in_budget silent_cache no_sound_cache restarted_front discovery replaced_machine bare_settings
 }
