--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -7,7 +7,8 @@
 //!
 //! Inside, the desk (lookups) and the peers (caches, parents, origin) are actors: each has an inbox, and one
 //! loop ([`Front::pump`]) empties them. A send is a [`Bid`]: the desk plans it, the source's guard passes it,
-//! then the cache's guard, and only that emits it ([`Peer::carry`]). All final answers leave by [`Desk::end`].
+//! then the cache's guard, and only that emits it ([`Peer::carry`]). All final answers leave by
+//! [`Desk::give_up`].
 
 use crate::interface::*;
 use crate::room::{Memory, Room, Rules, Smooth};
@@ -41,8 +42,8 @@
 const TRIAL_REST: Micros = 2 * SEC;
 /// Good answers in a row that are counted; each halves the time to the next trial.
 const STREAK: u32 = 5;
-/// What may be out at once through a gate: at first, at least, a step up for each that came in time, and what a
-/// cut leaves. A large front is held back at first, for as long as a few hundred answers take.
+/// What may be out at once through a gate: at first, at least, a step up for each that came in time, and what
+/// a cut leaves. A large front is held back at first, for as long as a few hundred answers take.
 const WINDOW: f64 = 16.0;
 const WINDOW_LEAST: f64 = 2.0;
 const WINDOW_STEP: f64 = 0.1;
@@ -430,12 +431,12 @@
         (!heard.is_empty()).then(|| heard.iter().sum::<f64>() / heard.len() as f64)
     }
 
-    /// Passed by: fails or owes answers, whatever the cause, and is not on trial just now. A slow cache is not
-    /// passed by: its gate takes as much as it can do in time, and elsewhere it would only be a miss.
+    /// Passed by: fails or owes answers, whatever the cause, and is not on trial just now. A slow cache is
+    /// not: its gate takes as much as it can do in time, and elsewhere the lookup would only be a miss.
     fn shunned(&self, ix: PeerIx, room: &Room<Note>) -> bool {
         let card = &self.cards[ix];
-        // What fails is what stands out among its like. Failures that all share come from elsewhere, and with most
-        // of a location passed by the rest would be run over.
+        // What fails is what stands out among its like. Failures that all share come from elsewhere, and with
+        // most of a location passed by the rest would be run over.
         let rate = |c: &Card| {
             let (sure, doubt) =
                 (c.failing.drifted(room.now, 0.0, DRIFT), c.doubt.drifted(room.now, 0.0, DRIFT));
@@ -766,7 +767,7 @@
         );
         if let Some(ix) = source_ix {
             let part = if !told || filled { carried } else { 0.0 };
-            // Sizes differ far more than parents do: only what goes beyond the object's own time tells of them.
+            // Sizes differ far more than parents do: only what goes beyond the object's own time tells.
             let took = (o.took.max(room.now - at) - own as Micros).max(0);
             if !(told && satisfied && !filled) {
                 let timed_out = o.ending == Ending::TimedOut;
@@ -785,8 +786,8 @@
         }
     }
 
-    /// How much more a lookup may be slowed down, within its latency budget, than a usual one of the kind with
-    /// the least room. In a jam it is the large ones that would come late, and that make others late.
+    /// How much more a lookup may be slowed down, within its latency budget, than a usual one of the kind
+    /// with the least room. In a jam it is the large ones that would come late, and make others late.
     fn ease(&self, lk: &Lookup, room: &Room<Note>) -> f64 {
         let slack = |k: &Kind, work: f64| k.stretch + k.budget as f64 / work.max(1.0);
         let cached = self.kinds.iter().filter(|k| !k.uncacheable);
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -8,8 +8,8 @@
 
 /// A moment or a span, in whole microseconds.
 pub type Micros = i64;
-/// Small index of a cache, parent or origin; the host gives them out from 0, and one again once it is forgotten
-/// ([`Action::Forget`]).
+/// Small index of a cache, parent or origin; the host gives them out from 0, and one again once it is
+/// forgotten ([`Action::Forget`]).
 pub type PeerIx = usize;
 /// Settings as names and values; unknown names are harmless.
 pub type Settings = BTreeMap<String, String>;
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -204,7 +204,7 @@
             fresh: (rules.item_num("specifics.max_age_s", k) * 1e6) as Micros,
             grace: (rules.item_num("specifics.stale_for_s", k) * 1e6) as Micros,
             uncacheable: rules.item("specifics.goes_through", k) == "true",
-            // Until lookups were seen: all the time that they have. Errs to the careful side for cold machines.
+            // Until lookups were seen: all the time that they have, the careful side for cold machines.
             work: budget as f64,
             recent: budget as f64,
             seen: 1.0,
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -3,13 +3,14 @@
 //! - `use FILE` plays another file first; `set NAME VALUE` lays a setting; `T start` starts the front.
 //! - `T list NAME=MACHINE[,ZONE[,SINCE]] ...` gives a full list, `T drain NAME` and `T gone NAME` a change,
 //!   `T unlisted` a failed call.
-//! - `T ask ID [object=] [part=] [size=] [kind=] [group=] [until=]` brings a lookup, `T flood FROM N SPAN ...`
-//!   N of them, each for an object of its own, over SPAN seconds.
-//! - `T end ID SEND ENDING [took=] [remark=] [byte=]` ends a send, `T answer FROM N NAME ENDING ...` the first
-//!   sends of N lookups as far as they went to NAME; `T left ID`; `T purge object=|group= ago=`.
-//! - `expect ID send [to=] [from=] [keep=] [held=] [age=] [age<=] [out<=]` takes the next action for the lookup, as do
-//!   `expect ID nack [back>=]`, `expect ID fail`; `expect ID nothing` holds when there is none; `expect
-//!   subscribe` counts a call, `expect forgotten NAME ...` what was forgotten since. `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
+//! - `T ask ID [object=] [part=] [size=] [kind=] [group=] [until=]` brings a lookup, `T flood FROM N SPAN
+//!   ...` N of them, each for an object of its own, over SPAN seconds.
+//! - `T end ID SEND ENDING [took=] [remark=] [byte=]` ends a send, `T answer FROM N NAME ENDING ...` the
+//!   first sends of N lookups as far as they went to NAME; `T left ID`; `T purge object=|group= ago=`.
+//! - `expect ID send [to=] [from=] [keep=] [held=] [age=] [age<=] [out<=]` takes the next action for the
+//!   lookup, as do `expect ID nack [back>=]`, `expect ID fail`; `expect ID nothing` holds when there is none.
+//!   `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
+//! - `expect subscribe` counts a call, `expect forgotten NAME ...` what was forgotten since.
 //! - `count NAME FROM TO LEAST MOST` bounds the sends that reached a machine, or named it as source, between
 //!   two moments.
 
@@ -280,6 +281,7 @@
 
 scenarios! {
     one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges
-    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache well_again shared_failures parent_copies send_cap failing_parent
-    room_in_budget silent_cache no_sound_cache restarted_front discovery replaced_machine bare_settings
+    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache
+    well_again shared_failures parent_copies send_cap failing_parent room_in_budget silent_cache
+    no_sound_cache restarted_front discovery replaced_machine bare_settings
 }
