Stretch what counts as late at the gate of fetches when even the least window is late

A test of the gate fails without the step. It guards against any lasting slowness behind the parents; it could feed an origin that this front alone overloads, up to three budgets.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -49,6 +49,11 @@
 const WINDOW_STEP: f64 = 0.1;
 const WINDOW_BACK: f64 = 0.8;
 const WINDOW_REST: Micros = SEC / 4;
+/// How far that is stretched at the gate of fetches, whose answers leave copies even when late; a step up for
+/// each late one, and down for each timely one.
+const SLACK_MOST: f64 = 3.0;
+const SLACK_UP: f64 = 1.2;
+const SLACK_DOWN: f64 = 1.002;
 /// A log line about the same thing comes at most so often.
 const SAY_REST: Micros = 5 * SEC;
 /// Parts of a window that are open to a lookup with the least and the most room in its latency budget.
@@ -93,13 +98,17 @@
     usual: f64,
     window: f64,
     late: Smooth,
+    /// How many times its latency budget an answer may take here before it counts as late, and at most.
+    slack: f64,
+    most: f64,
     cut_at: Micros,
     said_at: Micros,
 }
 
 impl Gate {
-    fn new() -> Gate {
-        Gate { out: 0.0, usual: 0.0, window: WINDOW, late: Smooth::at(0.0), cut_at: 0, said_at: 0 }
+    fn new(most: f64) -> Gate {
+        let late = Smooth::at(0.0);
+        Gate { out: 0.0, usual: 0.0, window: WINDOW, late, slack: 1.0, most, cut_at: 0, said_at: 0 }
     }
 
     fn pressed(&self, share: f64) -> bool {
@@ -120,7 +129,14 @@
     }
 
     /// True when it was cut, for the log, and not said lately.
-    fn judge(&mut self, now: Micros, late: bool, share: f64) -> bool {
+    fn judge(&mut self, now: Micros, time: f64, share: f64) -> bool {
+        let late = time > self.slack;
+        // What comes late through the least window is not of this front's making, and no cut will mend it.
+        if !late {
+            self.slack = (self.slack / SLACK_DOWN).max(1.0);
+        } else if self.window <= WINDOW_LEAST {
+            self.slack = (self.slack * SLACK_UP).min(self.most);
+        }
         self.late.add(now, f64::from(u8::from(late)), SMOOTHING / 2.0);
         let late = self.late.drifted(now, 0.0, DRIFT);
         if late > BAD_HIGH && now > self.cut_at + WINDOW_REST {
@@ -166,7 +182,7 @@
             ix,
             card: Card::new(),
             gone_at: None,
-            gate: Gate::new(),
+            gate: Gate::new(1.0),
             since: 0,
             listed_since: 0,
             level: 0.0,
@@ -197,12 +213,12 @@
                 room.tell(bid.cache, Note::Carry(bid));
             }
             Note::Carry(bid) => return self.carry(bid, room),
-            Note::Done { verdict, lost, heard, late, pace, work } => {
+            Note::Done { verdict, lost, heard, time, pace, work } => {
                 if heard {
                     (self.card.owed, self.card.lost) = (0, 0);
                 }
                 self.gate.leave(1.0);
-                if late.is_some_and(|late| self.gate.judge(now, late, 1.0)) {
+                if time.is_some_and(|time| self.gate.judge(now, time, 1.0)) {
                     let (id, window) = (self.card.stable, self.gate.window);
                     room.out.push(Action::Log(format!("gate of {id:012x} cut to {window:.0}")));
                 }
@@ -730,7 +746,8 @@
         let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
-        if let Some(late) = self.late(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
+        if let Some(time) = self.time(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
+            let late = time > 1.0;
             // Behind the parent or before it: by the notes, by the first byte, or by what was asked.
             let budget = self.kinds.get(lk.kind).map_or(0, |k| k.budget);
             let behind = match o.remark {
@@ -739,16 +756,16 @@
                 _ => ask == Ask::Fetch || (ask == Ask::Plain && !(told && satisfied)),
             };
             let at_link = o.first_byte.is_some_and(|b| b < budget / 2);
-            if behind && !(late && at_link) && self.fetches.judge(room.now, late, fetch) {
+            if behind && !(late && at_link) && self.fetches.judge(room.now, time, fetch) {
                 let window = self.fetches.window;
                 room.out.push(Action::Log(format!("fetches jammed: window {window:.0}")));
             }
-            if (!late || !behind || at_link) && self.fills.judge(room.now, late, share) {
+            if (!late || !behind || at_link) && self.fills.judge(room.now, time, share) {
                 let window = self.fills.window;
                 room.out.push(Action::Log(format!("fills jammed: window {window:.0}")));
             }
         }
-        let late = self.late(&lk, &o, own, 1.0).filter(|_| satisfied && held && !uncacheable);
+        let time = self.time(&lk, &o, own, 1.0).filter(|_| satisfied && held && !uncacheable);
         if look && matches!(o.ending, Ending::Satisfied | Ending::Miss) {
             self.filled.add(room.now, f64::from(u8::from(!satisfied)), SMOOTHING);
         }
@@ -763,7 +780,7 @@
         let carried = if satisfied { work } else { 0.0 };
         room.tell(
             o.peer,
-            Note::Done { verdict: verdict(at_cache && !uncacheable), lost, heard, late, pace, work: carried },
+            Note::Done { verdict: verdict(at_cache && !uncacheable), lost, heard, time, pace, work: carried },
         );
         if let Some(ix) = source_ix {
             let part = if !told || filled { carried } else { 0.0 };
@@ -802,12 +819,14 @@
         }
     }
 
-    /// Whether an outcome came too late for the latency budget, times the drag of its cache.
-    fn late(&self, lk: &Lookup, o: &Outcome, own: f64, drag: f64) -> Option<bool> {
+    /// How many times the latency budget, times the drag of its cache, an outcome took.
+    fn time(&self, lk: &Lookup, o: &Outcome, own: f64, drag: f64) -> Option<f64> {
         let kind = self.kinds.get(lk.kind)?;
         match o.ending {
-            Ending::Satisfied => Some(o.took as f64 > drag * (kind.budget as f64 + kind.stretch * own)),
-            Ending::TimedOut | Ending::TurnedAway => Some(true),
+            Ending::Satisfied => {
+                Some(o.took as f64 / (drag * (kind.budget as f64 + kind.stretch * own)).max(1.0))
+            }
+            Ending::TimedOut | Ending::TurnedAway => Some(f64::INFINITY),
             _ => None,
         }
     }
@@ -845,8 +864,8 @@
             // A second more than told: a fill that began before may still bring an old copy.
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
             filled: Smooth::at(FILLED),
-            fills: Gate::new(),
-            fetches: Gate::new(),
+            fills: Gate::new(1.0),
+            fetches: Gate::new(SLACK_MOST),
         };
         Front { desk, peers: Vec::new(), room: Room::new(now, rules.0, seed) }
     }
@@ -910,3 +929,24 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn window_after_late_answers(most: f64) -> f64 {
+        let mut gate = Gate::new(most);
+        for second in 1..200 {
+            gate.enter(1.0);
+            gate.judge(second * SEC, 1.5, 1.0);
+            gate.leave(1.0);
+        }
+        gate.window
+    }
+
+    #[test]
+    fn an_origin_slow_by_itself_does_not_keep_the_gate_of_fetches_shut() {
+        assert!(window_after_late_answers(SLACK_MOST) > WINDOW_LEAST);
+        assert_eq!(window_after_late_answers(1.0), WINDOW_LEAST);
+    }
+}
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -144,7 +144,7 @@
         verdict: Verdict,
         lost: bool,
         heard: bool,
-        late: Option<bool>,
+        time: Option<f64>,
         pace: Option<f64>,
         work: f64,
     },
