--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -551,10 +551,16 @@
         let ask = if uncacheable {
             Ask::Plain
         } else if self.cards[cache].role != Role::Cache {
-            if self.fills.full(1.0, ease) || fetches_full {
+            let parent = self.cards[cache].role == Role::Parent;
+            if !self.fills.full(1.0, ease) && parent && !missed(Ask::Held) && self.fetches.pressed(1.0) {
+                // Named as its own source, a parent gives what it holds and fetches nothing.
+                fill.source = cache;
+                Ask::Held
+            } else if self.fills.full(1.0, ease) || fetches_full {
                 return self.give_up(id, room);
+            } else {
+                Ask::Fetch
             }
-            Ask::Fetch
         } else if !missed(Ask::Look) {
             if self.fills.pressed(usual) || self.fetches.pressed(usual) {
                 Ask::Look
