Count a machine heard again after seconds of silence as cold

After four seconds of silence with answers owed it now is. It could slow the return of a machine that only hung.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -68,6 +68,7 @@
 const GIVE: f64 = 1.0005;
 /// A peer that owes this many answers and has given none for so long is silent.
 const SILENT: Micros = SEC;
+const LONG_SILENT: Micros = 4 * SEC;
 const OWED: u32 = 3;
 /// Share of lookups that are taken to need a fill, until it was seen.
 const FILLED: f64 = 0.3;
@@ -215,6 +216,10 @@
             Note::Carry(bid) => return self.carry(bid, room),
             Note::Done { verdict, lost, heard, time, pace, work } => {
                 if heard {
+                    // Back after a long silence it may have started anew, unlisted yet: cold as well.
+                    if self.card.owed >= OWED && now > self.card.owed_since + LONG_SILENT {
+                        self.since = now;
+                    }
                     (self.card.owed, self.card.lost) = (0, 0);
                 }
                 self.gate.leave(1.0);
