Tidy the module: one origin, one gate question a plan, plain yes-or-no verdicts

The origin was worked out up to three times a plan, each gate asked up to three times, the test for uncacheable kinds written three times; a bid's fill was optional but never absent; verdicts were floats that held only 0 or 1. Comments on three constants stood beside the wrong ones. No bound, check or test was touched.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -22,9 +22,9 @@
 const REPEAT_WINDOW: Micros = 10 * SEC;
 /// Rank of all that is kept; only one is used.
 const RANK: u8 = 1;
-/// Weight of a new sample in all smoothed figures, and how fast an idle one drifts to the average.
+/// Weight of a new sample in smoothed figures, and in those that choose between parents, where no single send
+/// is to turn the choice; and how fast an idle figure drifts to the average.
 const SMOOTHING: f64 = 0.2;
-/// The same for the figures that choose between parents: a weight that lets no single send turn the choice.
 const SOURCE_SMOOTHING: f64 = 0.05;
 const DRIFT: f64 = 10.0 * SEC as f64;
 /// How long a machine that has left the list is remembered.
@@ -49,8 +49,8 @@
 const WINDOW_STEP: f64 = 0.1;
 const WINDOW_BACK: f64 = 0.8;
 const WINDOW_REST: Micros = SEC / 4;
-/// How far that is stretched at the gate of fetches, whose answers leave copies even when late; a step up for
-/// each late one, and down for each timely one.
+/// How far what counts as late is stretched at the gate of fetches, whose answers leave copies even then; a
+/// step up for each late one, and down for each timely one.
 const SLACK_MOST: f64 = 3.0;
 const SLACK_UP: f64 = 1.2;
 const SLACK_DOWN: f64 = 1.002;
@@ -66,16 +66,22 @@
 const PRESSED: f64 = 0.5;
 /// How fast a mean time that was seen without sizes gives way upwards, a sample.
 const GIVE: f64 = 1.0005;
-/// A peer that owes this many answers and has given none for so long is silent.
+/// A peer that owes this many answers and has given none for so long is silent; after the longer time it may
+/// have started anew.
+const OWED: u32 = 3;
 const SILENT: Micros = SEC;
 const LONG_SILENT: Micros = 4 * SEC;
-const OWED: u32 = 3;
 /// Share of lookups that are taken to need a fill, until it was seen.
 const FILLED: f64 = 0.3;
 /// Part of a cold machine's allowance that this front uses, and of it the part that may go out at once.
 const COLD_USE: f64 = 0.7;
 const COLD_BURST: f64 = 0.3;
 
+/// A yes or no as a sample of a share.
+fn one(yes: bool) -> f64 {
+    f64::from(u8::from(yes))
+}
+
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -138,7 +144,7 @@
         } else if self.window <= WINDOW_LEAST {
             self.slack = (self.slack * SLACK_UP).min(self.most);
         }
-        self.late.add(now, f64::from(u8::from(late)), SMOOTHING / 2.0);
+        self.late.add(now, one(late), SMOOTHING / 2.0);
         let late = self.late.drifted(now, 0.0, DRIFT);
         if late > BAD_HIGH && now > self.cut_at + WINDOW_REST {
             self.window = (self.usual.min(self.window) * WINDOW_BACK).max(WINDOW_LEAST);
@@ -259,16 +265,16 @@
     }
 
     fn judged(&mut self, now: Micros, verdict: Verdict) {
-        match verdict.sure.into_iter().chain(verdict.doubt).reduce(f64::max) {
-            Some(failed) if failed > 0.0 => self.card.streak = 0,
-            Some(_) => self.card.streak = (self.card.streak + 1).min(STREAK),
-            None => {}
-        }
-        if let Some(sure) = verdict.sure {
-            self.card.failing.add(now, sure, SMOOTHING / 2.0);
+        let card = &mut self.card;
+        for (failed, share) in [(verdict.sure, &mut card.failing), (verdict.doubt, &mut card.doubt)] {
+            if let Some(failed) = failed {
+                share.add(now, one(failed), SMOOTHING / 2.0);
+            }
         }
-        if let Some(doubt) = verdict.doubt {
-            self.card.doubt.add(now, doubt, SMOOTHING / 2.0);
+        if verdict.sure == Some(true) || verdict.doubt == Some(true) {
+            card.streak = 0;
+        } else if verdict.sure.is_some() {
+            card.streak = (card.streak + 1).min(STREAK);
         }
     }
 
@@ -313,7 +319,12 @@
         }
         self.card.owed += 1;
         room.tell_desk(Note::Posted(self.ix, self.card));
-        room.out.push(Action::Send { id: bid.lk, peer: self.ix, time_out: bid.time_out, fill: bid.fill });
+        room.out.push(Action::Send {
+            id: bid.lk,
+            peer: self.ix,
+            time_out: bid.time_out,
+            fill: Some(bid.fill),
+        });
         room.tell_desk(Note::Sent(bid));
     }
 
@@ -491,8 +502,7 @@
     }
 
     /// The design's companion: of two parents by the object's hash the one with the lower figure.
-    fn source(&self, held: &Held, room: &Room<Note>) -> Option<PeerIx> {
-        let origin = self.order(held, Role::Origin, 0).first().copied();
+    fn source(&self, held: &Held, origin: Option<PeerIx>, room: &Room<Note>) -> Option<PeerIx> {
         let all = self.order(held, Role::Parent, 0);
         let up: Vec<PeerIx> = all.iter().copied().filter(|ix| !self.shunned(*ix, room)).take(2).collect();
         let bytes = up.iter().all(|ix| self.cards[*ix].first_byte.value.is_some());
@@ -514,11 +524,10 @@
             return self.give_up(id, room);
         }
         let direct = room.rules.is("specifics.pass_through_ok");
-        let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
-        let source = match uncacheable {
-            true => self.order(held, Role::Origin, 0).first().copied().or_else(|| self.source(held, room)),
-            false => self.source(held, room),
-        };
+        let uncacheable = self.uncacheable(lk.kind);
+        let origin = self.order(held, Role::Origin, 0).first().copied();
+        let straight = origin.filter(|_| uncacheable);
+        let source = straight.or_else(|| self.source(held, origin, room));
         let caches = self.order(held, Role::Cache, u64::from(lk.part));
         let sound = caches.iter().copied().find(|ix| !self.shunned(*ix, room));
         let cache = match sound {
@@ -533,7 +542,6 @@
         let kind = self.kinds.get(lk.kind);
         let grace = kind.map_or(0, |k| k.grace);
         // A parent that names itself would fetch nothing.
-        let origin = self.order(held, Role::Origin, 0).first().copied();
         let behind = if self.cards[cache].role == Role::Parent { origin } else { source };
         let mut fill = Fill {
             source: behind.unwrap_or(cache),
@@ -553,15 +561,16 @@
         let ease = self.ease(&lk, room);
         // A fetch costs the origin much the same whatever the size.
         let fetches_full = self.fetches.full(1.0, ease.sqrt());
+        let fills_full = self.fills.full(1.0, ease);
         let ask = if uncacheable {
             Ask::Plain
         } else if self.cards[cache].role != Role::Cache {
             let parent = self.cards[cache].role == Role::Parent;
-            if !self.fills.full(1.0, ease) && parent && !missed(Ask::Held) && self.fetches.pressed(1.0) {
+            if !fills_full && parent && !missed(Ask::Held) && self.fetches.pressed(1.0) {
                 // Named as its own source, a parent gives what it holds and fetches nothing.
                 fill.source = cache;
                 Ask::Held
-            } else if self.fills.full(1.0, ease) || fetches_full {
+            } else if fills_full || fetches_full {
                 return self.give_up(id, room);
             } else {
                 Ask::Fetch
@@ -572,7 +581,7 @@
             } else {
                 Ask::Plain
             }
-        } else if self.fills.full(1.0, ease) || (lacking && fetches_full) {
+        } else if fills_full || (lacking && fetches_full) {
             if grace == 0 || missed(Ask::Stale) {
                 return self.give_up(id, room);
             }
@@ -599,7 +608,7 @@
         let bid = Bid {
             lk: id,
             cache,
-            fill: Some(fill),
+            fill,
             ask,
             share,
             fetch,
@@ -610,9 +619,10 @@
             norm: norm(self.cards[cache].role),
             fill_norm: norm(Role::Parent),
         };
-        match Some(fill).filter(|f| f.source != cache) {
-            Some(fill) => room.tell(fill.source, Note::Lend(bid)),
-            None => room.tell(cache, Note::Carry(bid)),
+        if fill.source == cache {
+            room.tell(cache, Note::Carry(bid));
+        } else {
+            room.tell(fill.source, Note::Lend(bid));
         }
     }
 
@@ -639,10 +649,9 @@
         let Some(held) = self.lookups.get_mut(&bid.lk) else {
             return;
         };
-        let source = bid.fill.map(|f| f.source).filter(|s| *s != bid.cache);
         held.sends.push(Sent {
             peer: bid.cache,
-            source,
+            source: Some(bid.fill.source).filter(|s| *s != bid.cache),
             at: room.now,
             out: true,
             may_have_run: true,
@@ -728,8 +737,8 @@
         };
         let satisfied = o.ending == Ending::Satisfied;
         let verdict = |at: bool| Verdict {
-            sure: (at || satisfied).then_some(f64::from(u8::from(at))),
-            doubt: (unclear || satisfied).then_some(f64::from(u8::from(unclear))),
+            sure: (at || satisfied).then_some(at),
+            doubt: (unclear || satisfied).then_some(unclear),
         };
         // In doubt the one that stands out is left alone next time, and the other tried again.
         let doubt = |ix: PeerIx| self.cards[ix].doubt.drifted(room.now, 0.0, DRIFT);
@@ -745,11 +754,11 @@
         self.fills.leave(share);
         self.fetches.leave(fetch);
         // What is known to come from the cache itself: elsewhere fills are mixed in.
-        let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && o.ending == Ending::Satisfied);
+        let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && satisfied);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
-        let uncacheable = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
-        if o.ending == Ending::Satisfied && lk.size_kb <= 0.0 && (held || !told || uncacheable) {
+        let uncacheable = self.uncacheable(lk.kind);
+        if satisfied && lk.size_kb <= 0.0 && (held || !told || uncacheable) {
             if let Some(kind) = self.kinds.get_mut(lk.kind) {
                 kind.learn(o.took as f64, false);
             }
@@ -776,15 +785,15 @@
                 room.out.push(Action::Log(format!("fills jammed: window {window:.0}")));
             }
         }
-        let time = self.time(&lk, &o, own, 1.0).filter(|_| satisfied && held && !uncacheable);
         if look && matches!(o.ending, Ending::Satisfied | Ending::Miss) {
-            self.filled.add(room.now, f64::from(u8::from(!satisfied)), SMOOTHING);
+            self.filled.add(room.now, one(!satisfied), SMOOTHING);
         }
         if satisfied && told && !uncacheable && !look {
-            self.filled.add(room.now, f64::from(u8::from(filled)), SMOOTHING);
+            self.filled.add(room.now, one(filled), SMOOTHING);
         }
         // Fills wait for others; only what the cache held itself tells of its own pace.
         let own_pace = satisfied && held && !uncacheable;
+        let time = self.time(&lk, &o, own, 1.0).filter(|_| own_pace);
         let pace = own_pace.then(|| (o.took as f64 / (own + 0.02 * SEC as f64)).min(20.0));
         let lost = matches!(o.ending, Ending::Unconnected | Ending::Broken);
         let heard = matches!(o.ending, Ending::Satisfied | Ending::Miss | Ending::Error | Ending::TurnedAway);
@@ -814,6 +823,10 @@
         }
     }
 
+    fn uncacheable(&self, kind: usize) -> bool {
+        self.kinds.get(kind).is_some_and(|k| k.uncacheable)
+    }
+
     /// How much more a lookup may be slowed down, within its latency budget, than a usual one of the kind
     /// with the least room. In a jam it is the large ones that would come late, and make others late.
     fn ease(&self, lk: &Lookup, room: &Room<Note>) -> f64 {
@@ -822,8 +835,7 @@
         let least = cached.map(|k| slack(k, k.work)).fold(f64::INFINITY, f64::min);
         let own = self.kinds.get(lk.kind).map_or(1.0, |k| slack(k, self.own_work(lk, room)));
         // What the origin runs only passes through, however long that takes.
-        let runs_behind = self.kinds.get(lk.kind).is_some_and(|k| k.uncacheable);
-        if runs_behind {
+        if self.uncacheable(lk.kind) {
             EASY
         } else {
             (own / least).clamp(TIGHT, EASY)
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -23,7 +23,7 @@
 pub struct Bid {
     pub lk: u32,
     pub cache: PeerIx,
-    pub fill: Option<Fill>,
+    pub fill: Fill,
     pub ask: Ask,
     pub share: f64,
     pub fetch: f64,
@@ -76,11 +76,11 @@
     Foreign,
 }
 
-/// What an outcome says of a peer: a failure (1), none (0), or nothing.
+/// What an outcome says of a peer: a failure or none, if anything.
 #[derive(Clone, Copy, Debug)]
 pub struct Verdict {
-    pub sure: Option<f64>,
-    pub doubt: Option<f64>,
+    pub sure: Option<bool>,
+    pub doubt: Option<bool>,
 }
 
 /// What a peer posts of itself: all that the desk knows when it chooses.
