Gates step by each answer and hold back below one, so that many fronts can share a jam

Cause: with 56 to 300 fronts a window of at least two a front is 112 to 600 fetches or sends out, and a share of late ones smoothed over ten answers takes a front of six lookups a second many seconds to move. A window now moves by each answer, and below one it is a share of the time in which one is out.

Also guards against any jam seen by many fronts of little traffic. Could harm where lateness has nothing to do with what is out and a front sees few answers: it rests up to 4 s between sends there.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -42,13 +42,20 @@
 const TRIAL_REST: Micros = 2 * SEC;
 /// Good answers in a row that are counted; each halves the time to the next trial.
 const STREAK: u32 = 5;
-/// What may be out at once through a gate: at first, at least, a step up for each that came in time, and what
-/// a cut leaves. A large front is held back at first, for as long as a few hundred answers take.
+/// What may be out at once through a gate, at first and at least. Below one it is a share of the time in which
+/// one is out: many fronts that keep one out each are a jam already.
 const WINDOW: f64 = 16.0;
-const WINDOW_LEAST: f64 = 2.0;
-const WINDOW_STEP: f64 = 0.1;
-const WINDOW_BACK: f64 = 0.8;
-const WINDOW_REST: Micros = SEC / 4;
+const WINDOW_LEAST: f64 = 0.1;
+/// A step up for each that came in time and down for each late one; their ratio is the share of late ones at
+/// which a window stands still. Steps by answer, not by time, need no samples: a front that sees an answer a
+/// second steps as its share of all that is seen. A late fill leaves a copy for those who ask next, and a
+/// late fetch one for all locations; what a cache held and sent late is lost.
+const STEP_DOWN: f64 = 0.8;
+const STEP_UP: f64 = 0.1;
+const STEP_UP_FILLS: f64 = 0.4;
+const STEP_UP_FETCHES: f64 = 0.8;
+/// The longest rest between two through a window below one: one that is well again is to be found out.
+const REST_MOST: Micros = 4 * SEC;
 /// How far what counts as late is stretched at the gate of fetches, whose answers leave copies even then; a
 /// step up for each late one, and down for each timely one.
 const SLACK_MOST: f64 = 3.0;
@@ -59,9 +66,6 @@
 /// Parts of a window that are open to a lookup with the least and the most room in its latency budget.
 const TIGHT: f64 = 0.5;
 const EASY: f64 = 3.0;
-/// Share of late ones up to which the window grows, and from which on it is cut.
-const BAD_LOW: f64 = 0.12;
-const BAD_HIGH: f64 = 0.25;
 /// From this part of the window on, a cache is asked first for what it holds.
 const PRESSED: f64 = 0.5;
 /// How fast a mean time that was seen without sizes gives way upwards, a sample.
@@ -98,64 +102,65 @@
 
 /// How much may be out at once: widened while what passes comes in time, cut while too much of it does not.
 /// Against jams of any cause, in which all that is let in comes late and is asked for again.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Gate {
     out: f64,
-    /// What has been out lately: a cut in a quiet moment must not shut the gate.
+    /// What has been out lately at the most: a window far above it would be cut in vain for long.
     usual: f64,
     window: f64,
-    late: Smooth,
     /// How many times its latency budget an answer may take here before it counts as late, and at most.
     slack: f64,
     most: f64,
-    cut_at: Micros,
+    step_up: f64,
+    entered_at: Micros,
+    left_at: Micros,
     said_at: Micros,
 }
 
 impl Gate {
-    fn new(most: f64) -> Gate {
-        let late = Smooth::at(0.0);
-        Gate { out: 0.0, usual: 0.0, window: WINDOW, late, slack: 1.0, most, cut_at: 0, said_at: 0 }
+    fn new(step_up: f64, most: f64) -> Gate {
+        Gate { window: WINDOW, slack: 1.0, most, step_up, ..Gate::default() }
     }
 
     fn pressed(&self, share: f64) -> bool {
         self.out + share > self.window * PRESSED
     }
 
-    fn full(&self, share: f64, ease: f64) -> bool {
-        self.out + share > self.window * ease
+    fn full(&self, now: Micros, ease: f64) -> bool {
+        let open = self.window * ease;
+        let span = (self.left_at - self.entered_at).max(0) as f64;
+        let rest = (span * (1.0 / open - 1.0)).clamp(0.0, REST_MOST as f64);
+        // Shares that came and went leave dust, which must not shut a window of one for good.
+        self.out > (open - 1.0).max(1e-6) || now < self.left_at + rest as Micros
     }
 
-    fn enter(&mut self, share: f64) {
+    fn enter(&mut self, now: Micros, share: f64) {
         self.out += share;
         self.usual = self.out.max(self.usual + SMOOTHING * (self.out - self.usual));
+        self.entered_at = now;
     }
 
-    fn leave(&mut self, share: f64) {
+    fn leave(&mut self, now: Micros, share: f64) {
         self.out = (self.out - share).max(0.0);
+        self.left_at = now;
     }
 
-    /// True when it was cut, for the log, and not said lately.
+    /// True when it was cut to where it binds, for the log, and not said lately.
     fn judge(&mut self, now: Micros, time: f64, share: f64) -> bool {
-        let late = time > self.slack;
-        // What comes late through the least window is not of this front's making, and no cut will mend it.
-        if !late {
+        if time <= self.slack {
             self.slack = (self.slack / SLACK_DOWN).max(1.0);
-        } else if self.window <= WINDOW_LEAST {
-            self.slack = (self.slack * SLACK_UP).min(self.most);
+            self.window += if self.pressed(share) { self.step_up * share } else { 0.0 };
+            return false;
         }
-        self.late.add(now, one(late), SMOOTHING / 2.0);
-        let late = self.late.drifted(now, 0.0, DRIFT);
-        if late > BAD_HIGH && now > self.cut_at + WINDOW_REST {
-            self.window = (self.usual.min(self.window) * WINDOW_BACK).max(WINDOW_LEAST);
-            self.cut_at = now;
-            let fresh = now > self.said_at + SAY_REST;
-            self.said_at = if fresh { now } else { self.said_at };
-            return fresh;
-        } else if late < BAD_LOW && self.pressed(share) {
-            self.window += WINDOW_STEP * share;
+        // What comes late one at a time is less and less likely of the fronts' making.
+        if self.window <= 1.0 {
+            self.slack = (self.slack * SLACK_UP).min(self.most);
         }
-        false
+        self.window = self.window.min(self.usual.max(1.0));
+        self.window = (self.window - STEP_DOWN * share * self.window.min(1.0)).max(WINDOW_LEAST);
+        let say = self.window < self.usual && now > self.said_at + SAY_REST;
+        self.said_at = if say { now } else { self.said_at };
+        say
     }
 }
 
@@ -185,16 +190,8 @@
 
 impl Peer {
     fn new(ix: PeerIx) -> Peer {
-        Peer {
-            ix,
-            card: Card::new(),
-            gone_at: None,
-            gate: Gate::new(1.0),
-            since: 0,
-            listed_since: 0,
-            level: 0.0,
-            level_at: 0,
-        }
+        let (card, gate) = (Card::new(), Gate::new(STEP_UP, 1.0));
+        Peer { ix, card, gate, gone_at: None, since: 0, listed_since: 0, level: 0.0, level_at: 0 }
     }
 
     fn read(&mut self, note: Note, room: &mut Room<Note>) {
@@ -228,7 +225,7 @@
                     }
                     (self.card.owed, self.card.lost) = (0, 0);
                 }
-                self.gate.leave(1.0);
+                self.gate.leave(now, 1.0);
                 if time.is_some_and(|time| self.gate.judge(now, time, 1.0)) {
                     let (id, window) = (self.card.stable, self.gate.window);
                     room.out.push(Action::Log(format!("gate of {id:012x} cut to {window:.0}")));
@@ -306,13 +303,13 @@
     /// The only place from which sends go out. Guards rules 3 and 4 for the cache; [`Note::Lend`] has done
     /// so for the source.
     fn carry(&mut self, bid: Bid, room: &mut Room<Note>) {
-        if self.gate.full(1.0, bid.ease) {
+        if self.gate.full(room.now, bid.ease) {
             return room.tell_desk(Note::Crowded(bid));
         }
         if !self.admits(room, bid.work, bid.norm) {
             return room.tell_desk(Note::Turned(bid, self.ix));
         }
-        self.gate.enter(1.0);
+        self.gate.enter(room.now, 1.0);
         self.card.tried_at = room.now;
         if self.card.owed == 0 {
             self.card.owed_since = room.now;
@@ -560,8 +557,8 @@
         let lacking = missed(Ask::Held) || self.cards[fill.source].role == Role::Origin;
         let ease = self.ease(&lk, room);
         // A fetch costs the origin much the same whatever the size.
-        let fetches_full = self.fetches.full(1.0, ease.sqrt());
-        let fills_full = self.fills.full(1.0, ease);
+        let fetches_full = self.fetches.full(now, ease.sqrt());
+        let fills_full = self.fills.full(now, ease);
         let ask = if uncacheable {
             Ask::Plain
         } else if self.cards[cache].role != Role::Cache {
@@ -661,8 +658,11 @@
             fetch: bid.fetch,
             ask: bid.ask,
         });
-        self.fills.enter(bid.share);
-        self.fetches.enter(bid.fetch);
+        for (gate, share) in [(&mut self.fills, bid.share), (&mut self.fetches, bid.fetch)] {
+            if share > 0.0 {
+                gate.enter(room.now, share);
+            }
+        }
     }
 
     fn began(&mut self, id: u32) {
@@ -751,8 +751,11 @@
         let told_so = (look || ask == Ask::Held) && o.ending == Ending::Miss;
         send.cache_failed &= !told_so;
         send.source_failed &= !told_so;
-        self.fills.leave(share);
-        self.fetches.leave(fetch);
+        for (gate, share) in [(&mut self.fills, share), (&mut self.fetches, fetch)] {
+            if share > 0.0 {
+                gate.leave(room.now, share);
+            }
+        }
         // What is known to come from the cache itself: elsewhere fills are mixed in.
         let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && satisfied);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
@@ -887,8 +890,8 @@
             // A second more than told: a fill that began before may still bring an old copy.
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
             filled: Smooth::at(FILLED),
-            fills: Gate::new(1.0),
-            fetches: Gate::new(SLACK_MOST),
+            fills: Gate::new(STEP_UP_FILLS, 1.0),
+            fetches: Gate::new(STEP_UP_FETCHES, SLACK_MOST),
         };
         Front { desk, peers: Vec::new(), room: Room::new(now, rules.0, seed) }
     }
@@ -958,11 +961,11 @@
     use super::*;
 
     fn window_after_late_answers(most: f64) -> f64 {
-        let mut gate = Gate::new(most);
+        let mut gate = Gate::new(STEP_UP, most);
         for second in 1..200 {
-            gate.enter(1.0);
+            gate.enter(second * SEC, 1.0);
             gate.judge(second * SEC, 1.5, 1.0);
-            gate.leave(1.0);
+            gate.leave(second * SEC, 1.0);
         }
         gate.window
     }
