--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -595,6 +595,9 @@
         fill.held_only = ask == Ask::Held;
         let (share, fetch) = match ask {
             Ask::Look | Ask::Stale => (0.0, 0.0),
+            // What only passes through is not judged by the gates: it must not take their places either, or
+            // it keeps them shut while the origin is down.
+            _ if uncacheable => (0.0, 0.0),
             Ask::Plain => (usual, usual),
             Ask::Held => (1.0, 0.0),
             Ask::Fetch => (1.0, 1.0),
@@ -612,7 +615,9 @@
             ease,
             time_out: if last || self.cards[cache].owed < OWED { left } else { left * 6 / 10 },
             work,
-            fill_work: work * (2.0 * share).min(1.0),
+            // All of it, though most may hit: emptied caches push a cold parent over before a share of misses
+            // that was seen on full ones has moved.
+            fill_work: self.own_work(&lk, room),
             norm: norm(self.cards[cache].role),
             fill_norm: norm(Role::Parent),
         };
