No extra sends to a failing origin for kinds that only pass through

Also for any origin that refuses; harms where the refusal is a single chance, when a client must come back.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -862,9 +862,13 @@
         }
     }
 
-    /// Extra sends are earned by first ones, so that retries cannot feed an overload.
+    /// Extra sends are earned by first ones, so that retries cannot feed an overload. None is spent on what
+    /// only the origin can do while the origin itself fails: eight sends each would hold it down.
     fn again(&mut self, id: u32, room: &mut Room<Note>) {
-        if self.extra < 1.0 {
+        let passes = self.lookups.get(&id).is_some_and(|h| self.uncacheable(h.lk.kind));
+        let origin = self.cards.iter().position(|c| c.role == Role::Origin && c.open);
+        let in_vain = passes && origin.is_some_and(|ix| self.shunned(ix, room));
+        if self.extra < 1.0 || in_vain {
             return self.give_up(id, room);
         }
         self.extra -= 1.0;
