--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -91,6 +91,8 @@
     pub zone: usize,
     pub weight: f64,
     pub open: bool,
+    /// A good part of its gate's window is out.
+    pub pressed: bool,
     /// Failures that were surely its own, and those that may have been.
     pub failing: Smooth,
     pub doubt: Smooth,
@@ -117,6 +119,7 @@
             zone: 0,
             weight: 1.0,
             open: false,
+            pressed: false,
             failing: Smooth::at(0.0),
             doubt: Smooth::at(0.0),
             first_byte: Smooth::default(),
