Few fronts keep their part of eight fetches open at the least

Cause: the floor of a tenth is right for a hundred fronts; four fronts together cannot keep a slow origin busy with it. The floor at fetches is eight shared by all fronts that the settings name, a tenth at the least. Harms an origin that bears less than eight at once.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -45,10 +45,12 @@
 const TRIAL_REST: Micros = 2 * SEC;
 /// Good answers in a row that are counted; each halves the time to the next trial.
 const STREAK: u32 = 5;
-/// What may be out at once through a gate, at first and at least. Below one it is a share of the time in which
-/// one is out: many fronts that keep one out each are a jam already.
+/// What may be out at once through a gate, at first and at least; for fetches at least also this front's part of
+/// what all may have out. Below one it is a share of the time in which one is out: many fronts that keep one
+/// out each are a jam already.
 const WINDOW: f64 = 16.0;
 const WINDOW_LEAST: f64 = 0.1;
+const FETCHES_LEAST: f64 = 8.0;
 /// A step up for each that came in time and down for each late one; their ratio sets the share of late ones at
 /// which a window stands still. Steps by answer need no samples: a front of little traffic steps as its share
 /// of all that is seen. A late fill leaves a copy, a late fetch one for all; a late hit is lost.
@@ -109,6 +111,7 @@
     /// What has been out lately at the most: a window far above it would be cut in vain for long.
     usual: f64,
     window: f64,
+    least: f64,
     step_up: f64,
     entered_at: Micros,
     left_at: Micros,
@@ -116,8 +119,8 @@
 }
 
 impl Gate {
-    fn new(step_up: f64) -> Gate {
-        Gate { window: WINDOW, step_up, ..Gate::default() }
+    fn new(step_up: f64, least: f64) -> Gate {
+        Gate { window: WINDOW, step_up, least: least.max(WINDOW_LEAST), ..Gate::default() }
     }
 
     fn pressed(&self, share: f64) -> bool {
@@ -150,7 +153,7 @@
             return false;
         }
         self.window = self.window.min(self.usual.max(1.0));
-        self.window = (self.window - STEP_DOWN * share * self.window.min(1.0)).max(WINDOW_LEAST);
+        self.window = (self.window - STEP_DOWN * share * self.window.min(1.0)).max(self.least);
         let say = self.window < self.usual && now > self.said_at + SAY_REST;
         self.said_at = if say { now } else { self.said_at };
         say
@@ -183,7 +186,7 @@
 
 impl Peer {
     fn new(ix: PeerIx) -> Peer {
-        let (card, gate) = (Card::new(), Gate::new(STEP_UP));
+        let (card, gate) = (Card::new(), Gate::new(STEP_UP, 0.0));
         Peer { ix, card, gate, gone_at: None, since: 0, listed_since: 0, level: 0.0, level_at: 0 }
     }
 
@@ -906,6 +909,7 @@
         if rules.text("registry_mode") == "on_request" {
             out.push(Action::Subscribe);
         }
+        let least = FETCHES_LEAST / rules.num("balancers", 1.0).max(1.0);
         let mut fields = rules.text("feedback.fields").split(',');
         let on_links = rules.text("specifics.report_x1").contains("location's_link");
         let desk = Desk {
@@ -918,8 +922,8 @@
             // A second more than told: a fill that began before may still bring an old copy.
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
             filled: Smooth::at(FILLED),
-            fills: Gate::new(STEP_UP_FILLS),
-            fetches: Gate::new(STEP_UP_FETCHES),
+            fills: Gate::new(STEP_UP_FILLS, 0.0),
+            fetches: Gate::new(STEP_UP_FETCHES, least),
             link: Smooth::at(0.0),
             link_at: fields.position(|f| f == "x1").filter(|_| on_links),
         };
