--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -36,8 +36,7 @@
 const EXTRA_SAVED: f64 = 20.0;
 /// A peer that fails this share of what it gets is passed by, but for a few trials.
 const FAILING: f64 = 0.15;
-/// A cache that takes so many times as long as the quickest of its like for what it holds drags: what it has
-/// no place for goes to the next.
+/// So many times as slow as the quickest of its like a cache drags, and what it has no place for goes on.
 const DRAGS: f64 = 4.0;
 /// A machine that so many sends in a row have not reached is held to be lost.
 const LOST: u32 = 3;
@@ -45,15 +44,14 @@
 const TRIAL_REST: Micros = 2 * SEC;
 /// Good answers in a row that are counted; each halves the time to the next trial.
 const STREAK: u32 = 5;
-/// What may be out at once through a gate, at first and at least; for fetches at least also this front's part of
-/// what all may have out. Below one it is a share of the time in which one is out: many fronts that keep one
-/// out each are a jam already.
+/// What may be out at once through a gate, at first and at least; of fetches also this front's part of a
+/// least for all. Below one it is a share of the time with one out: one each from many fronts is a jam.
 const WINDOW: f64 = 16.0;
 const WINDOW_LEAST: f64 = 0.1;
 const FETCHES_LEAST: f64 = 8.0;
-/// A step up for each that came in time and down for each late one; their ratio sets the share of late ones at
-/// which a window stands still. Steps by answer need no samples: a front of little traffic steps as its share
-/// of all that is seen. A late fill leaves a copy, a late fetch one for all; a late hit is lost.
+/// A step up for each that came in time and down for each late one; their ratio sets the share of late ones
+/// at which a window stands still. Steps by answer need no samples: a front of little traffic steps as its
+/// share of all that is seen. A late fill leaves a copy, a late fetch one for all; a late hit is lost.
 const STEP_DOWN: f64 = 0.8;
 const STEP_UP: f64 = 0.1;
 const STEP_UP_FILLS: f64 = 0.4;
@@ -74,8 +72,8 @@
 const OWED: u32 = 3;
 const SILENT: Micros = SEC;
 const LONG_SILENT: Micros = 4 * SEC;
-/// A location's link bears so many times the transfers that fit at full pace before clients wait for it; beyond
-/// that fills are let in by chance, as that stands to what is reported, and a report fades this fast.
+/// A location's link bears so many times the transfers that fit at full pace before clients wait for it;
+/// beyond that fills are let in by chance, as that stands to what is reported, and a report fades this fast.
 const LINK_BEARS: f64 = 1.6;
 const LINK_FADES: f64 = 2.0 * SEC as f64;
 /// Share of lookups that are taken to need a fill, until it was seen.
