Keep parts beyond the known length; look for what was asked lately and wait for what is on its way

In a tap every part of the hot object was filled 17 times at the same cache (4682 fills of 810 parts, 1605 hits): clients of 30 locations walk a new object together, its two parents' links fill up (5.2 times the usual time, first bytes alike), fills grow long, and each lookup meanwhile starts another. Two causes, told apart by part 23 (kept late) and part 29 (never kept): - each next part was the highest seen, so it passed as tail: now a part beyond the estimate is no tail, the estimate is low; - where fills cannot be joined, a part asked for again within ten seconds is looked for first, and one that is on its way is waited for, by a quarter of its sending time a turn, as long as the latency budget bears it (no lookup given up is held). Also for any herd (releases, emptied caches). Harms: once-only objects keep their tails; a look costs a send.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -76,17 +76,14 @@
 /// beyond that fills are let in by chance, as that stands to what is reported, and a report fades this fast.
 const LINK_BEARS: f64 = 1.6;
 const LINK_FADES: f64 = 2.0 * SEC as f64;
+/// The least time before a part that is on its way to a cache is asked for again.
+const WAIT_LEAST: Micros = SEC / 30;
 /// Share of lookups that are taken to need a fill, until it was seen.
 const FILLED: f64 = 0.3;
 /// Part of a cold machine's allowance that this front uses, and of it the part that may go out at once.
 const COLD_USE: f64 = 0.7;
 const COLD_BURST: f64 = 0.3;
 
-/// A yes or no as a sample of a share.
-fn one(yes: bool) -> f64 {
-    f64::from(u8::from(yes))
-}
-
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
@@ -189,7 +186,7 @@
     }
 
     fn read(&mut self, note: Note, room: &mut Room<Note>) {
-        let now = room.now;
+        let (now, id) = (room.now, self.card.stable);
         match note {
             Note::Listed(entry) => self.listed(entry, room),
             Note::Unlisted => {
@@ -221,8 +218,7 @@
                 }
                 self.gate.leave(now, 1.0);
                 if time.is_some_and(|time| self.gate.judge(now, time, 1.0)) {
-                    let (id, window) = (self.card.stable, self.gate.window);
-                    room.out.push(Action::Log(format!("gate of {id:012x} cut to {window:.0}")));
+                    room.out.push(Action::Log(format!("gate of {id:012x} cut to {:.0}", self.gate.window)));
                 }
                 self.judged(now, verdict);
                 // Guards against pushing over what restarts before the list tells: a machine that nothing
@@ -230,7 +226,6 @@
                 self.card.lost += u32::from(lost);
                 if lost && self.card.lost >= LOST {
                     if now > self.since + SAY_REST {
-                        let id = self.card.stable;
                         room.out.push(Action::Log(format!("{id:012x} unreached: held cold")));
                     }
                     self.since = now;
@@ -264,7 +259,7 @@
         let card = &mut self.card;
         for (failed, share) in [(verdict.sure, &mut card.failing), (verdict.doubt, &mut card.doubt)] {
             if let Some(failed) = failed {
-                share.add(now, one(failed), SMOOTHING / 2.0);
+                share.add(now, f64::from(failed), SMOOTHING / 2.0);
             }
         }
         if verdict.sure == Some(true) || verdict.doubt == Some(true) {
@@ -334,20 +329,18 @@
             return false;
         }
         let (from, warm, factor, fronts) = match self.card.role {
-            Role::Cache | Role::Foreign => (
-                rules.num("guarantees.cold_from", 0.1),
-                rules.span("guarantees.warm_after_s", 30.0),
-                rules.num("guarantees.overload_factor", 2.0),
-                rules.item_num("specifics.zone_balancers", self.card.zone),
-            ),
-            Role::Parent => (
-                rules.num("specifics.upper_cold_from", 0.05),
-                rules.span("specifics.parent_warms_in_s", 30.0),
-                rules.num("specifics.parent_fall_multiple", 2.0),
-                rules.num("balancers", 1.0),
-            ),
+            Role::Cache | Role::Foreign => {
+                let fronts = rules.item_num("specifics.zone_balancers", self.card.zone);
+                ("guarantees.cold_from", "guarantees.warm_after_s", "guarantees.overload_factor", fronts)
+            }
+            Role::Parent => {
+                let fronts = rules.num("balancers", 1.0);
+                let names = ("specifics.upper_cold_from", "specifics.parent_warms_in_s");
+                (names.0, names.1, "specifics.parent_fall_multiple", fronts)
+            }
             Role::Origin => return true,
         };
+        let (from, warm, factor) = (rules.num(from, 0.05), rules.span(warm, 30.0), rules.num(factor, 2.0));
         let up = (room.now - self.since).max(0);
         if self.since <= 0 || up >= warm {
             return true;
@@ -410,32 +403,32 @@
         }
     }
 
-    fn asked(&mut self, lk: Lookup, room: &mut Room<Note>) {
-        let keep = self.rank(&lk, room.now);
+    fn asked(&mut self, mut lk: Lookup, room: &mut Room<Note>) {
+        // The last is for kinds that the settings do not name, and takes nothing for granted.
+        lk.kind = lk.kind.min(self.kinds.len() - 1);
+        let (keep, again) = self.rank(&lk, room.now);
         if lk.size_kb > 0.0 {
             let work = self.own_work(&lk, room);
-            if let Some(kind) = self.kinds.get_mut(lk.kind) {
-                kind.learn(work, true);
-            }
+            self.kinds[lk.kind].learn(work, true);
         }
-        let held = Held { lk, keep, ended: false, began: false, sends: Vec::new(), turned: Vec::new() };
+        let held = Held { keep, again, asked_at: room.now, ..Held::new(lk) };
         self.lookups.insert(lk.id, held);
         self.extra = (self.extra + EXTRA_EARNED).min(EXTRA_SAVED);
         self.plan(lk.id, room);
     }
 
     /// The design's tail cut: 0 for what passes through unkept, else the rank.
-    fn rank(&mut self, lk: &Lookup, now: Micros) -> u8 {
-        let highest = self.lengths.get(now, lk.object).unwrap_or(0).max(lk.part);
+    fn rank(&mut self, lk: &Lookup, now: Micros) -> (u8, bool) {
+        let seen = self.lengths.get(now, lk.object);
+        let highest = seen.unwrap_or(0).max(lk.part);
         self.lengths.put(now, lk.object, highest);
         let again = self.asked.get(now, (lk.object, lk.part)).is_some();
         self.asked.put(now, (lk.object, lk.part), ());
-        let tail = f64::from(lk.part) >= NU * f64::from(highest + 1);
-        if tail && !again {
-            0
-        } else {
-            RANK
-        }
+        // A part beyond the estimate shows that this is too low yet: of an object that grows, or that all see
+        // for the first time together, each next part would pass unkept and be filled anew for each client.
+        let known = seen.is_some_and(|seen| lk.part <= seen);
+        let tail = known && f64::from(lk.part) >= NU * f64::from(highest + 1);
+        (if tail && !again { 0 } else { RANK }, again)
     }
 
     /// What a lookup takes at a client's full pace: by its size, or by its kind's mean where none is told.
@@ -444,14 +437,15 @@
         if lk.size_kb > 0.0 && flow > 0.0 {
             return lk.size_kb / flow * SEC as f64;
         }
-        self.kinds.get(lk.kind).map_or(SEC as f64, |k| k.work)
+        self.kinds[lk.kind].work
     }
 
     /// Rule 5: how old a copy may be, 0 for any that the kind allows.
     fn age(&self, lk: &Lookup, now: Micros, grace: Micros) -> Micros {
         let one = self.purged.get(now, (Some(lk.object), 0));
         let all = self.purged.get(now, (None, lk.group));
-        let most = self.kinds.get(lk.kind).filter(|k| k.fresh > 0).map(|k| k.fresh + grace);
+        let kind = &self.kinds[lk.kind];
+        let most = (kind.fresh > 0).then_some(kind.fresh + grace);
         // 0 would mean the default.
         let since = one.max(all).map(|at| (now - at).max(1));
         since.into_iter().chain(most).min().unwrap_or(0)
@@ -469,11 +463,8 @@
         let card = &self.cards[ix];
         // What fails is what stands out among its like. Failures that all share come from elsewhere, and with
         // most of a location passed by the rest would be run over.
-        let rate = |c: &Card| {
-            let (sure, doubt) =
-                (c.failing.drifted(room.now, 0.0, DRIFT), c.doubt.drifted(room.now, 0.0, DRIFT));
-            sure.max(doubt)
-        };
+        let share = |s: &Smooth| s.drifted(room.now, 0.0, DRIFT);
+        let rate = |c: &Card| share(&c.failing).max(share(&c.doubt));
         let others = |(i, c): &(usize, &Card)| *i != ix && c.role == card.role && c.open;
         let others: Vec<f64> = self.cards.iter().enumerate().filter(others).map(|(_, c)| rate(c)).collect();
         let usual = others.iter().sum::<f64>() / others.len().max(1) as f64;
@@ -489,12 +480,12 @@
         let pace = |c: &Card| c.pace.drifted(room.now, 1.0, DRIFT);
         let like = self.cards.iter().filter(|c| c.role == Role::Cache && c.open);
         let drags = pace(&self.cards[bid.cache]) > DRAGS * like.map(pace).fold(f64::INFINITY, f64::min);
-        let held = self.lookups.get(&bid.lk).filter(|_| drags);
-        let next = held.and_then(|held| {
-            let all = self.order(held, Role::Cache, u64::from(held.lk.part));
-            all.into_iter().find(|ix| *ix != bid.cache && !self.shunned(*ix, room))
-        });
-        next.is_some_and(|ix| !self.cards[ix].pressed)
+        drags
+            && self.lookups.get(&bid.lk).is_some_and(|held| {
+                let all = self.order(held, Role::Cache, u64::from(held.lk.part));
+                let next = all.into_iter().find(|ix| *ix != bid.cache && !self.shunned(*ix, room));
+                next.is_some_and(|ix| !self.cards[ix].pressed)
+            })
     }
 
     /// Peers of a role that the lookup may still try, best first by the hash.
@@ -538,7 +529,7 @@
             return self.give_up(id, room);
         }
         let direct = room.rules.is("specifics.pass_through_ok");
-        let uncacheable = self.uncacheable(lk.kind);
+        let uncacheable = self.kinds[lk.kind].uncacheable;
         let origin = self.order(held, Role::Origin, 0).first().copied();
         let straight = origin.filter(|_| uncacheable);
         let source = straight.or_else(|| self.source(held, origin, room));
@@ -553,8 +544,8 @@
         let Some(cache) = cache else {
             return self.give_up(id, room);
         };
-        let kind = self.kinds.get(lk.kind);
-        let grace = kind.map_or(0, |k| k.grace);
+        let kind = &self.kinds[lk.kind];
+        let grace = kind.grace;
         // A parent that names itself would fetch nothing.
         let behind = if self.cards[cache].role == Role::Parent { origin } else { source };
         let mut fill = Fill {
@@ -562,17 +553,19 @@
             keep: if uncacheable { 0 } else { held.keep },
             age: self.age(&lk, now, 0),
             join: room.rules.is("specifics.shares_fills") && !uncacheable,
-            renew: kind.is_some_and(|k| k.fresh > 0),
+            renew: kind.fresh > 0,
             held_only: false,
         };
         // Against a jam of fills: while many are out, the cache is first asked for what it holds, then the
         // parent for what it holds, and only what is known to be missing there may wait for a place among the
         // fetches behind. So a slow origin shuts off neither hits nor parents. What the cache holds past its
         // fresh time is better than nothing then.
-        let missed = |ask: Ask| held.sends.iter().any(|s| s.peer == cache && !s.out && s.ask == ask);
+        let missed =
+            |ask: Ask| held.sends.iter().any(|s| s.peer == cache && !s.out && !s.waited && s.ask == ask);
         let usual = self.filled.drifted(now, FILLED, DRIFT);
         let lacking = missed(Ask::Held) || self.cards[fill.source].role == Role::Origin;
-        let ease = self.ease(&lk, room);
+        // What the origin runs only passes through, however long that takes.
+        let ease = if uncacheable { EASY } else { self.ease(&lk, room) };
         // A fetch costs the origin much the same whatever the size.
         let fetches_full = self.fetches.full(now, ease.sqrt());
         // The link is shared with fronts that are not seen; reports tell of it before anything comes late.
@@ -592,7 +585,8 @@
                 Ask::Fetch
             }
         } else if !missed(Ask::Look) {
-            if self.fills.pressed(usual) || self.fetches.pressed(usual) || link > 1.0 {
+            let pressed = self.fills.pressed(usual) || self.fetches.pressed(usual) || link > 1.0;
+            if pressed || (held.again && !fill.join) {
                 Ask::Look
             } else {
                 Ask::Plain
@@ -622,7 +616,6 @@
             Ask::Fetch => (1.0, 1.0),
         };
         let last = held.sends.len() + 1 >= cap;
-        let work = kind.map_or(SEC as f64, |k| k.work);
         let norm = |role| self.average(role, |c| Some(c.carried.value(now, DRIFT))).unwrap_or(0.0);
         let bid = Bid {
             lk: id,
@@ -633,7 +626,7 @@
             fetch,
             ease,
             time_out: if last || self.cards[cache].owed < OWED { left } else { left * 6 / 10 },
-            work,
+            work: kind.work,
             // All of it, though most may hit: emptied caches push a cold parent over before a share of misses
             // that was seen on full ones has moved.
             fill_work: self.own_work(&lk, room),
@@ -655,9 +648,7 @@
         let Some(first) = held.sends.iter().find(|s| s.may_have_run) else {
             return true;
         };
-        let Some(kind) = self.kinds.get(held.lk.kind) else {
-            return false;
-        };
+        let kind = &self.kinds[held.lk.kind];
         match kind.repeat {
             Repeat::Idempotent => true,
             // Nearer groups than all would need a cache of the same group; the front does without.
@@ -681,6 +672,7 @@
             fill: bid.share,
             fetch: bid.fetch,
             ask: bid.ask,
+            waited: false,
         });
         self.fills.enter(room.now, bid.share);
         self.fetches.enter(room.now, bid.fetch);
@@ -719,12 +711,9 @@
         };
         held.ended = true;
         let ran = held.sends.iter().any(|s| s.may_have_run);
-        let harmless = !ran
-            || self.kinds.get(held.lk.kind).is_some_and(|k| match k.repeat {
-                Repeat::Idempotent => true,
-                Repeat::Deduplicated => k.group == "all",
-                Repeat::SideEffecting => false,
-            });
+        let kind = &self.kinds[held.lk.kind];
+        let safe = kind.repeat == Repeat::Idempotent;
+        let harmless = !ran || safe || (kind.repeat == Repeat::Deduplicated && kind.group == "all");
         let most = room.rules.span("limits.max_retry_after_s", 0.0);
         // Spread, lest all that a jam turned down come back together.
         let wait = SEC / 100 + (room.draw() * SEC as f64 / 2.0) as Micros;
@@ -742,9 +731,8 @@
             return;
         };
         send.out = false;
-        let unproven =
-            [Ending::Satisfied, Ending::Error, Ending::TimedOut, Ending::Broken, Ending::Cancelled];
-        send.may_have_run = unproven.contains(&o.ending);
+        use Ending::{Broken, Cancelled, Error, Satisfied, TimedOut};
+        send.may_have_run = matches!(o.ending, Satisfied | Error | TimedOut | Broken | Cancelled);
         let upstream = matches!(o.remark, Remark::SourceRefused | Remark::SourceLost | Remark::OriginFailed);
         let told = room.rules.text("specifics.says") == "all";
         // Who is at fault: the cache, the source, or either where nothing tells.
@@ -783,39 +771,35 @@
         let held = matches!(o.remark, Remark::Hit | Remark::Old) || (look && satisfied);
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
-        let uncacheable = self.uncacheable(lk.kind);
+        let uncacheable = self.kinds[lk.kind].uncacheable;
         if satisfied && lk.size_kb <= 0.0 && (held || !told || uncacheable) {
-            if let Some(kind) = self.kinds.get_mut(lk.kind) {
-                kind.learn(o.took as f64, false);
-            }
+            self.kinds[lk.kind].learn(o.took as f64, false);
         }
-        let work = self.kinds.get(lk.kind).map_or(0.0, |k| k.work);
+        let work = self.kinds[lk.kind].work;
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
         if let Some(time) = self.time(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
             let late = time > 1.0;
             // Behind the parent or before it: by the notes, by the first byte, or by what was asked.
-            let budget = self.kinds.get(lk.kind).map_or(0, |k| k.budget);
             let behind = match o.remark {
                 Remark::FilledFromOrigin | Remark::OriginFailed => true,
                 Remark::Filled | Remark::NoPlace | Remark::SourceRefused | Remark::SourceLost => false,
                 _ => ask == Ask::Fetch || (ask == Ask::Plain && !(told && satisfied)),
             };
-            let at_link = o.first_byte.is_some_and(|b| b < budget / 2);
-            if behind && !(late && at_link) && self.fetches.judge(room.now, time, fetch) {
-                let window = self.fetches.window;
-                room.out.push(Action::Log(format!("fetches jammed: window {window:.0}")));
-            }
-            if (!late || !behind || at_link) && self.fills.judge(room.now, time, share) {
-                let window = self.fills.window;
-                room.out.push(Action::Log(format!("fills jammed: window {window:.0}")));
+            let at_link = o.first_byte.is_some_and(|b| b < self.kinds[lk.kind].budget / 2);
+            let fetches = (&mut self.fetches, "fetches", behind && !(late && at_link), fetch);
+            let fills = (&mut self.fills, "fills", !late || !behind || at_link, share);
+            for (gate, name, concerned, share) in [fetches, fills] {
+                if concerned && gate.judge(room.now, time, share) {
+                    room.out.push(Action::Log(format!("{name} jammed: window {:.0}", gate.window)));
+                }
             }
         }
         if look && matches!(o.ending, Ending::Satisfied | Ending::Miss) {
-            self.filled.add(room.now, one(!satisfied), SMOOTHING);
+            self.filled.add(room.now, f64::from(!satisfied), SMOOTHING);
         }
         if satisfied && told && !uncacheable && !look {
-            self.filled.add(room.now, one(filled), SMOOTHING);
+            self.filled.add(room.now, f64::from(filled), SMOOTHING);
         }
         // Fills wait for others; only what the cache held itself tells of its own pace.
         let own_pace = satisfied && held && !uncacheable;
@@ -840,8 +824,11 @@
                 room.tell(ix, Note::Gave { verdict: verdict(at_source), first_byte, took, work: part });
             }
         }
+        let wait = ask == Ask::Look && o.ending == Ending::Miss && o.remark == Remark::Joined;
         if o.finished || ended {
             self.left(o.id, room);
+        } else if wait && self.wait(&lk, own, room) {
+            // Its ring brings it back.
         } else if told_so {
             self.plan(o.id, room);
         } else if !self.lookups.get(&o.id).is_some_and(|h| h.sends.iter().any(|s| s.out)) {
@@ -849,41 +836,54 @@
         }
     }
 
-    fn uncacheable(&self, kind: usize) -> bool {
-        self.kinds.get(kind).is_some_and(|k| k.uncacheable)
-    }
-
     /// How much more a lookup may be slowed down, within its latency budget, than a usual one of the kind
     /// with the least room. In a jam it is the large ones that would come late, and make others late.
     fn ease(&self, lk: &Lookup, room: &Room<Note>) -> f64 {
         let slack = |k: &Kind, work: f64| k.stretch + k.budget as f64 / work.max(1.0);
-        let cached = self.kinds.iter().filter(|k| !k.uncacheable);
+        let cached = self.kinds.iter().rev().skip(1).filter(|k| !k.uncacheable);
         let least = cached.map(|k| slack(k, k.work)).fold(f64::INFINITY, f64::min);
-        let own = self.kinds.get(lk.kind).map_or(1.0, |k| slack(k, self.own_work(lk, room)));
-        // What the origin runs only passes through, however long that takes.
-        if self.uncacheable(lk.kind) {
-            EASY
-        } else {
-            (own / least).clamp(TIGHT, EASY)
-        }
+        let own = slack(&self.kinds[lk.kind], self.own_work(lk, room));
+        (own / least).clamp(TIGHT, EASY)
+    }
+
+    fn budget(&self, lk: &Lookup, own: f64) -> f64 {
+        self.kinds[lk.kind].budget as f64 + self.kinds[lk.kind].stretch * own
     }
 
     /// How many times the latency budget, times the drag of its cache, an outcome took.
     fn time(&self, lk: &Lookup, o: &Outcome, own: f64, drag: f64) -> Option<f64> {
-        let kind = self.kinds.get(lk.kind)?;
         match o.ending {
-            Ending::Satisfied => {
-                Some(o.took as f64 / (drag * (kind.budget as f64 + kind.stretch * own)).max(1.0))
-            }
+            Ending::Satisfied => Some(o.took as f64 / (drag * self.budget(lk, own)).max(1.0)),
             Ending::TimedOut | Ending::TurnedAway => Some(f64::INFINITY),
             _ => None,
         }
     }
 
+    /// A second fill of what the cache is getting already would only slow the first. Against hot new objects
+    /// where fills cannot be joined: the lookup asks again when a part of its sending time has passed, as long
+    /// as that leaves it the time to be sent within its latency budget.
+    fn wait(&mut self, lk: &Lookup, own: f64, room: &mut Room<Note>) -> bool {
+        let budget = self.budget(lk, own) as Micros;
+        let Some(held) = self.lookups.get_mut(&lk.id) else { return false };
+        let at = room.now + held.sends.len() as Micros * (own as Micros / 4).max(WAIT_LEAST);
+        let late = at + own as Micros > lk.expires.min(held.asked_at + budget);
+        held.waiting = !(late || room.rules.is("specifics.shares_fills"));
+        if held.waiting {
+            held.sends.iter_mut().for_each(|s| s.waited = true);
+            room.out.push(Action::Ring { at, token: lk.id });
+        }
+        held.waiting
+    }
+
+    /// Whether a lookup waited for this ring; it does no longer.
+    fn waits(&mut self, id: u32) -> bool {
+        self.lookups.get_mut(&id).is_some_and(|held| std::mem::take(&mut held.waiting))
+    }
+
     /// Extra sends are earned by first ones, so that retries cannot feed an overload. None is spent on what
     /// only the origin can do while the origin itself fails: eight sends each would hold it down.
     fn again(&mut self, id: u32, room: &mut Room<Note>) {
-        let passes = self.lookups.get(&id).is_some_and(|h| self.uncacheable(h.lk.kind));
+        let passes = self.lookups.get(&id).is_some_and(|h| self.kinds[h.lk.kind].uncacheable);
         let origin = self.cards.iter().position(|c| c.role == Role::Origin && c.open);
         let in_vain = passes && origin.is_some_and(|ix| self.shunned(ix, room));
         if self.extra < 1.0 || in_vain {
@@ -912,7 +912,7 @@
         let on_links = rules.text("specifics.report_x1").contains("location's_link");
         let desk = Desk {
             cards: Vec::new(),
-            kinds: (0..rules.num("classes.count", 0.0) as usize).map(|k| Kind::read(&rules, k)).collect(),
+            kinds: (0..=rules.num("classes.count", 0.0) as usize).map(|k| Kind::read(&rules, k)).collect(),
             lookups: BTreeMap::new(),
             extra: EXTRA_SAVED,
             lengths: Memory::new(LENGTH_LIFE, MEMORY),
@@ -937,6 +937,7 @@
             Event::Began { id } => desk.began(id),
             Event::Ended(outcome) => desk.ended(outcome, room),
             Event::Left { id } => desk.left(id, room),
+            Event::Rang { token } if desk.waits(token) => desk.plan(token, room),
             Event::Rang { .. } => room.out.push(Action::Subscribe),
             Event::Purged { object, group, ago } => {
                 let name = (object, if object.is_some() { 0 } else { group });
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -51,6 +51,8 @@
     pub fill: f64,
     pub fetch: f64,
     pub ask: Ask,
+    /// What it found was waited upon: it says nothing of what is there now.
+    pub waited: bool,
 }
 
 // For one lookup.
@@ -64,6 +66,27 @@
     pub sends: Vec<Sent>,
     /// Peers that turned a bid away before it was sent.
     pub turned: Vec<PeerIx>,
+    pub asked_at: Micros,
+    /// This front was asked for the same lately.
+    pub again: bool,
+    /// No send is out, but a ring is due.
+    pub waiting: bool,
+}
+
+impl Held {
+    pub fn new(lk: Lookup) -> Held {
+        Held {
+            lk,
+            keep: 0,
+            ended: false,
+            began: false,
+            sends: Vec::new(),
+            turned: Vec::new(),
+            asked_at: 0,
+            again: false,
+            waiting: false,
+        }
+    }
 }
 
 // For one cache, parent or origin.
