--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -860,7 +860,7 @@
     }
 
     /// A second fill of what the cache is getting already would only slow the first. Against hot new objects
-    /// where fills cannot be joined: the lookup asks again when a part of its sending time has passed, as long
+    /// where fills cannot be joined: the lookup asks again after a part of its sending time, as long
     /// as that leaves it the time to be sent within its latency budget.
     fn wait(&mut self, lk: &Lookup, own: f64, room: &mut Room<Note>) -> bool {
         let budget = self.budget(lk, own) as Micros;
