Lay quick failures of fetches to the origin; narrow the keeping of tails to objects met again

Only what was satisfied can have been held up at the link. Scenarios refusing_origin, walked_together.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -366,7 +366,7 @@
     kinds: Vec<Kind>,
     lookups: BTreeMap<u32, Held>,
     extra: f64,
-    lengths: Memory<u64, u32>,
+    lengths: Memory<u64, (u32, Option<Micros>)>,
     asked: Memory<(u64, u32), ()>,
     purged: Memory<(Option<u64>, u32), Micros>,
     /// Share of sends that a source had to fill.
@@ -419,16 +419,16 @@
 
     /// The design's tail cut: 0 for what passes through unkept, else the rank.
     fn rank(&mut self, lk: &Lookup, now: Micros) -> (u8, bool) {
-        let seen = self.lengths.get(now, lk.object);
-        let highest = seen.unwrap_or(0).max(lk.part);
-        self.lengths.put(now, lk.object, highest);
+        let (seen, met_at) = self.lengths.get(now, lk.object).unwrap_or((0, None));
+        let highest = seen.max(lk.part);
         let again = self.asked.get(now, (lk.object, lk.part)).is_some();
         self.asked.put(now, (lk.object, lk.part), ());
-        // A part beyond the estimate shows that this is too low yet: of an object that grows, or that all see
-        // for the first time together, each next part would pass unkept and be filled anew for each client.
-        let known = seen.is_some_and(|seen| lk.part <= seen);
-        let tail = known && f64::from(lk.part) >= NU * f64::from(highest + 1);
-        (if tail && !again { 0 } else { RANK }, again)
+        // Each next part of a new object that many walk together is the highest yet and would pass unkept.
+        let met_at = again.then_some(now).or(met_at);
+        self.lengths.put(now, lk.object, (highest, met_at));
+        let met = met_at.is_some_and(|at| now <= at + REPEAT_WINDOW);
+        let tail = f64::from(lk.part) >= NU * f64::from(highest + 1);
+        (if tail && !met { 0 } else { RANK }, again)
     }
 
     /// What a lookup takes at a client's full pace: by its size, or by its kind's mean where none is told.
@@ -786,7 +786,7 @@
                 Remark::Filled | Remark::NoPlace | Remark::SourceRefused | Remark::SourceLost => false,
                 _ => ask == Ask::Fetch || (ask == Ask::Plain && !(told && satisfied)),
             };
-            let at_link = o.first_byte.is_some_and(|b| b < self.kinds[lk.kind].budget / 2);
+            let at_link = satisfied && o.first_byte.is_some_and(|b| b < self.kinds[lk.kind].budget / 2);
             let fetches = (&mut self.fetches, "fetches", behind && !(late && at_link), fetch);
             let fills = (&mut self.fills, "fills", !late || !behind || at_link, share);
             for (gate, name, concerned, share) in [fetches, fills] {
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -205,6 +205,7 @@
                 Some("filled") => Remark::Filled,
                 Some("origin") => Remark::FilledFromOrigin,
                 Some("joined") => Remark::Joined,
+                Some("origin-failed") => Remark::OriginFailed,
                 Some("source-lost") => Remark::SourceLost,
                 Some(other) => panic!("unknown remark {other}"),
                 None => Remark::None,
@@ -284,6 +285,6 @@
 scenarios! {
     one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges
     tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache
-    many_fronts emptied_caches full_link few_fronts on_its_way dragging_cache well_again shared_failures parent_copies send_cap failing_parent room_in_budget silent_cache
+    many_fronts emptied_caches full_link few_fronts on_its_way walked_together refusing_origin dragging_cache well_again shared_failures parent_copies send_cap failing_parent room_in_budget silent_cache
     no_sound_cache back_from_silence direct_copies restarted_front discovery replaced_machine bare_settings
 }
