--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -20,6 +20,8 @@
 const NU: f64 = 0.9;
 const LENGTH_LIFE: Micros = 300 * SEC;
 const REPEAT_WINDOW: Micros = 10 * SEC;
+/// So many parts back another's lookup tells that an object is walked by many.
+const WALK: u32 = 3;
 /// Rank of all that is kept; only one is used.
 const RANK: u8 = 1;
 /// Weight of a new sample in smoothed figures, and in those that choose between parents, where no single send
@@ -237,11 +239,11 @@
             }
             Note::Gave { verdict, first_byte, took, work } => {
                 self.judged(now, verdict);
-                if let Some(first_byte) = first_byte {
-                    self.card.first_byte.add(now, first_byte as f64, SOURCE_SMOOTHING);
-                }
-                if let Some(took) = took {
-                    self.card.latency.add(now, took as f64, SOURCE_SMOOTHING);
+                let card = &mut self.card;
+                for (time, figure) in [(first_byte, &mut card.first_byte), (took, &mut card.latency)] {
+                    if let Some(time) = time {
+                        figure.add(now, time as f64, SOURCE_SMOOTHING);
+                    }
                 }
                 self.card.carried.add(now, work, DRIFT);
             }
@@ -366,8 +368,8 @@
     kinds: Vec<Kind>,
     lookups: BTreeMap<u32, Held>,
     extra: f64,
-    lengths: Memory<u64, (u32, Option<Micros>)>,
-    asked: Memory<(u64, u32), ()>,
+    lengths: Memory<u64, u32>,
+    asked: Memory<(u64, u32), bool>,
     purged: Memory<(Option<u64>, u32), Micros>,
     /// Share of sends that a source had to fill.
     filled: Smooth,
@@ -406,7 +408,7 @@
     fn asked(&mut self, mut lk: Lookup, room: &mut Room<Note>) {
         // The last is for kinds that the settings do not name, and takes nothing for granted.
         lk.kind = lk.kind.min(self.kinds.len() - 1);
-        let (keep, again) = self.rank(&lk, room.now);
+        let (keep, again) = self.rank(&lk, room);
         if lk.size_kb > 0.0 {
             let work = self.own_work(&lk, room);
             self.kinds[lk.kind].learn(work, true);
@@ -418,17 +420,18 @@
     }
 
     /// The design's tail cut: 0 for what passes through unkept, else the rank.
-    fn rank(&mut self, lk: &Lookup, now: Micros) -> (u8, bool) {
-        let (seen, met_at) = self.lengths.get(now, lk.object).unwrap_or((0, None));
+    fn rank(&mut self, lk: &Lookup, room: &Room<Note>) -> (u8, bool) {
+        let (now, alone) = (room.now, !room.rules.is("specifics.shares_fills"));
+        let seen = self.lengths.get(now, lk.object).unwrap_or(0);
         let highest = seen.max(lk.part);
+        self.lengths.put(now, lk.object, highest);
         let again = self.asked.get(now, (lk.object, lk.part)).is_some();
-        self.asked.put(now, (lk.object, lk.part), ());
-        // Each next part of a new object that many walk together is the highest yet and would pass unkept.
-        let met_at = again.then_some(now).or(met_at);
-        self.lengths.put(now, lk.object, (highest, met_at));
-        let met = met_at.is_some_and(|at| now <= at + REPEAT_WINDOW);
+        self.asked.put(now, (lk.object, lk.part), again);
+        // Against herds too: each next part of a new object is the highest yet, and all would fill it anew.
+        let just = |back| self.asked.get(now, (lk.object, lk.part.wrapping_sub(back))) == Some(true);
+        let led = alone && lk.part > seen && (1..=WALK).any(just);
         let tail = f64::from(lk.part) >= NU * f64::from(highest + 1);
-        (if tail && !met { 0 } else { RANK }, again)
+        (if tail && !again && !led { 0 } else { RANK }, again)
     }
 
     /// What a lookup takes at a client's full pace: by its size, or by its kind's mean where none is told.
@@ -557,9 +560,8 @@
             held_only: false,
         };
         // Against a jam of fills: while many are out, the cache is first asked for what it holds, then the
-        // parent for what it holds, and only what is known to be missing there may wait for a place among the
-        // fetches behind. So a slow origin shuts off neither hits nor parents. What the cache holds past its
-        // fresh time is better than nothing then.
+        // parent, and only what is missing there waits for a place among the fetches behind. So a slow origin
+        // shuts off neither hits nor parents. What is past its fresh time is better than nothing then.
         let missed =
             |ask: Ask| held.sends.iter().any(|s| s.peer == cache && !s.out && !s.waited && s.ask == ask);
         let usual = self.filled.drifted(now, FILLED, DRIFT);
@@ -608,8 +610,7 @@
         fill.held_only = ask == Ask::Held;
         let (share, fetch) = match ask {
             Ask::Look | Ask::Stale => (0.0, 0.0),
-            // What only passes through is not judged by the gates: it must not take their places either, or
-            // it keeps them shut while the origin is down.
+            // Not judged by the gates, so without a place: it would keep them shut while the origin is down.
             _ if uncacheable => (0.0, 0.0),
             Ask::Plain => (usual, usual),
             Ask::Held => (1.0, 0.0),
@@ -859,9 +860,8 @@
         }
     }
 
-    /// A second fill of what the cache is getting already would only slow the first. Against hot new objects
-    /// where fills cannot be joined: the lookup asks again after a part of its sending time, as long
-    /// as that leaves it the time to be sent within its latency budget.
+    /// Against herds of fills of hot new objects where fills cannot be joined: what is on its way is asked
+    /// for again after a part of its sending time, as long as that leaves the time to send it in time.
     fn wait(&mut self, lk: &Lookup, own: f64, room: &mut Room<Note>) -> bool {
         let budget = self.budget(lk, own) as Micros;
         let Some(held) = self.lookups.get_mut(&lk.id) else { return false };
