--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -20,7 +20,7 @@
 const NU: f64 = 0.9;
 const LENGTH_LIFE: Micros = 300 * SEC;
 const REPEAT_WINDOW: Micros = 10 * SEC;
-/// So many parts back another's lookup tells that an object is walked by many.
+/// From so many fronts a location on, a part met again at most so many back tells that many walk an object.
 const WALK: u32 = 3;
 /// Rank of all that is kept; only one is used.
 const RANK: u8 = 1;
@@ -29,9 +29,8 @@
 const SMOOTHING: f64 = 0.2;
 const SOURCE_SMOOTHING: f64 = 0.05;
 const DRIFT: f64 = 10.0 * SEC as f64;
-/// How long a machine that has left the list is remembered.
+/// How long a machine that left the list is remembered, and how many entries any memory of objects holds.
 const GONE_LIFE: Micros = 3600 * SEC;
-/// Entries that any memory of objects may hold.
 const MEMORY: usize = 50_000;
 /// Extra sends earned by a first send, and how many can be saved up.
 const EXTRA_EARNED: f64 = 0.2;
@@ -51,13 +50,14 @@
 const WINDOW: f64 = 16.0;
 const WINDOW_LEAST: f64 = 0.1;
 const FETCHES_LEAST: f64 = 8.0;
-/// A step up for each that came in time and down for each late one; their ratio sets the share of late ones
-/// at which a window stands still. Steps by answer need no samples: a front of little traffic steps as its
-/// share of all that is seen. A late fill leaves a copy, a late fetch one for all; a late hit is lost.
+/// A step up for each that came in time, down for each late one, which first cuts to USED times the use. The
+/// ratio sets the share of late ones at which a window stands still. Steps by answer need no samples: a front
+/// of little traffic steps as its share of all. A late fill leaves a copy, a late fetch one for all.
 const STEP_DOWN: f64 = 0.8;
 const STEP_UP: f64 = 0.1;
 const STEP_UP_FILLS: f64 = 0.4;
 const STEP_UP_FETCHES: f64 = 0.8;
+const USED: f64 = 1.1;
 /// The longest rest between two through a window below one: one that is well again is to be found out.
 const REST_MOST: Micros = 4 * SEC;
 /// A log line about the same thing comes at most so often.
@@ -149,7 +149,7 @@
             self.window += if self.pressed(share) { self.step_up * share } else { 0.0 };
             return false;
         }
-        self.window = self.window.min(self.usual.max(1.0));
+        self.window = self.window.min(USED * self.usual.max(1.0));
         self.window = (self.window - STEP_DOWN * share * self.window.min(1.0)).max(self.least);
         let say = self.window < self.usual && now > self.said_at + SAY_REST;
         self.said_at = if say { now } else { self.said_at };
@@ -336,9 +336,8 @@
                 ("guarantees.cold_from", "guarantees.warm_after_s", "guarantees.overload_factor", fronts)
             }
             Role::Parent => {
-                let fronts = rules.num("balancers", 1.0);
                 let names = ("specifics.upper_cold_from", "specifics.parent_warms_in_s");
-                (names.0, names.1, "specifics.parent_fall_multiple", fronts)
+                (names.0, names.1, "specifics.parent_fall_multiple", rules.num("balancers", 1.0))
             }
             Role::Origin => return true,
         };
@@ -421,15 +420,17 @@
 
     /// The design's tail cut: 0 for what passes through unkept, else the rank.
     fn rank(&mut self, lk: &Lookup, room: &Room<Note>) -> (u8, bool) {
-        let (now, alone) = (room.now, !room.rules.is("specifics.shares_fills"));
+        let (now, rules) = (room.now, &room.rules);
+        let fronts = rules.item_num("specifics.zone_balancers", rules.num("locality", 0.0) as usize);
+        let apart = fronts >= f64::from(WALK) && !rules.is("specifics.shares_fills");
         let seen = self.lengths.get(now, lk.object).unwrap_or(0);
         let highest = seen.max(lk.part);
         self.lengths.put(now, lk.object, highest);
         let again = self.asked.get(now, (lk.object, lk.part)).is_some();
         self.asked.put(now, (lk.object, lk.part), again);
-        // Against herds too: each next part of a new object is the highest yet, and all would fill it anew.
+        // Against herds too: each next part of a new object is the highest yet, and each front would pass it.
         let just = |back| self.asked.get(now, (lk.object, lk.part.wrapping_sub(back))) == Some(true);
-        let led = alone && lk.part > seen && (1..=WALK).any(just);
+        let led = apart && lk.part > seen && (1..=WALK).any(just);
         let tail = f64::from(lk.part) >= NU * f64::from(highest + 1);
         (if tail && !again && !led { 0 } else { RANK }, again)
     }
@@ -776,7 +777,6 @@
         if satisfied && lk.size_kb <= 0.0 && (held || !told || uncacheable) {
             self.kinds[lk.kind].learn(o.took as f64, false);
         }
-        let work = self.kinds[lk.kind].work;
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
         if let Some(time) = self.time(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
@@ -808,7 +808,7 @@
         let pace = own_pace.then(|| (o.took as f64 / (own + 0.02 * SEC as f64)).min(20.0));
         let lost = matches!(o.ending, Ending::Unconnected | Ending::Broken);
         let heard = matches!(o.ending, Ending::Satisfied | Ending::Miss | Ending::Error | Ending::TurnedAway);
-        let carried = if satisfied { work } else { 0.0 };
+        let carried = if satisfied { self.kinds[lk.kind].work } else { 0.0 };
         room.tell(
             o.peer,
             Note::Done { verdict: verdict(at_cache && !uncacheable), lost, heard, time, pace, work: carried },
