--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -5,8 +5,8 @@
 //!   `T unlisted` a failed call.
 //! - `T ask ID [object=] [part=] [size=] [kind=] [group=] [until=]` brings a lookup, `T flood FROM N SPAN
 //!   ...` N of them, each for an object of its own, over SPAN seconds.
-//! - `T end ID SEND ENDING [took=] [remark=] [byte=] [report=]` ends a send, `T answer FROM N NAME ENDING ...` the
-//!   first sends of N lookups as far as they went to NAME; `T left ID`; `T purge object=|group= ago=`.
+//! - `T end ID SEND ENDING [took=] [remark=] [byte=] [report=]` ends a send, `T answer FROM N NAME,... ENDING ...`
+//!   the first sends of N lookups as far as they went to one of NAME; `T left ID`; `T purge object=|group= ago=`.
 //! - `expect ID send [to=] [from=] [keep=] [held=] [age=] [age<=] [out<=]` takes the next action for the
 //!   lookup, as do `expect ID nack [back>=]`, `expect ID fail`; `expect ID nothing` holds when there is none.
 //!   `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
@@ -247,9 +247,9 @@
             "end" => self.outcome(words[0].parse().unwrap(), words[1].parse().unwrap(), &words[2..]),
             "answer" => {
                 let (from, n): (u32, u32) = (words[0].parse().unwrap(), words[1].parse().unwrap());
-                let peer = self.peer(words[2]);
+                let peers: Vec<PeerIx> = words[2].split(',').map(|name| self.peer(name)).collect();
                 for id in from..from + n {
-                    if self.sends.get(&id).is_none_or(|sends| sends[0] != peer) {
+                    if self.sends.get(&id).is_none_or(|sends| !peers.contains(&sends[0])) {
                         continue;
                     }
                     let event = self.outcome(id, 0, &words[3..]);
