--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -421,17 +421,17 @@
     /// The design's tail cut: 0 for what passes through unkept, else the rank.
     fn rank(&mut self, lk: &Lookup, room: &Room<Note>) -> (u8, bool) {
         let (now, rules) = (room.now, &room.rules);
-        let fronts = rules.item_num("specifics.zone_balancers", rules.num("locality", 0.0) as usize);
-        let apart = fronts >= f64::from(WALK) && !rules.is("specifics.shares_fills");
         let seen = self.lengths.get(now, lk.object).unwrap_or(0);
         let highest = seen.max(lk.part);
         self.lengths.put(now, lk.object, highest);
         let again = self.asked.get(now, (lk.object, lk.part)).is_some();
         self.asked.put(now, (lk.object, lk.part), again);
+        let tail = f64::from(lk.part) >= NU * f64::from(highest + 1);
         // Against herds too: each next part of a new object is the highest yet, and each front would pass it.
         let just = |back| self.asked.get(now, (lk.object, lk.part.wrapping_sub(back))) == Some(true);
-        let led = apart && lk.part > seen && (1..=WALK).any(just);
-        let tail = f64::from(lk.part) >= NU * f64::from(highest + 1);
+        let fronts = || rules.item_num("specifics.zone_balancers", rules.num("locality", 0.0) as usize);
+        let led = tail && lk.part > seen && (1..=WALK).any(just) && !rules.is("specifics.shares_fills");
+        let led = led && fronts() >= f64::from(WALK);
         (if tail && !again && !led { 0 } else { RANK }, again)
     }
 
@@ -884,8 +884,8 @@
     /// only the origin can do while the origin itself fails: eight sends each would hold it down.
     fn again(&mut self, id: u32, room: &mut Room<Note>) {
         let passes = self.lookups.get(&id).is_some_and(|h| self.kinds[h.lk.kind].uncacheable);
-        let origin = self.cards.iter().position(|c| c.role == Role::Origin && c.open);
-        let in_vain = passes && origin.is_some_and(|ix| self.shunned(ix, room));
+        let mut origins = (0..self.cards.len()).filter(|ix| self.cards[*ix].role == Role::Origin);
+        let in_vain = passes && origins.any(|ix| self.cards[ix].open && self.shunned(ix, room));
         if self.extra < 1.0 || in_vain {
             return self.give_up(id, room);
         }
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -5,8 +5,9 @@
 //!   `T unlisted` a failed call.
 //! - `T ask ID [object=] [part=] [size=] [kind=] [group=] [until=]` brings a lookup, `T flood FROM N SPAN
 //!   ...` N of them, each for an object of its own, over SPAN seconds.
-//! - `T end ID SEND ENDING [took=] [remark=] [byte=] [report=]` ends a send, `T answer FROM N NAME,... ENDING ...`
-//!   the first sends of N lookups as far as they went to one of NAME; `T left ID`; `T purge object=|group= ago=`.
+//! - `T end ID SEND ENDING [took=] [remark=] [byte=] [report=]` ends a send, `T answer FROM N NAME,...
+//!   ENDING ...` the first sends of N lookups as far as they went to a NAME; `T left ID`;
+//!   `T purge object=|group= ago=`.
 //! - `expect ID send [to=] [from=] [keep=] [held=] [age=] [age<=] [out<=]` takes the next action for the
 //!   lookup, as do `expect ID nack [back>=]`, `expect ID fail`; `expect ID nothing` holds when there is none.
 //!   `?x` binds a machine's name, `$x` is the name bound, `!$x` any other.
@@ -283,8 +284,9 @@
 }
 
 scenarios! {
-    one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges
-    tail_cut repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache
-    many_fronts emptied_caches full_link few_fronts on_its_way walked_together refusing_origin dragging_cache well_again shared_failures parent_copies send_cap failing_parent room_in_budget silent_cache
-    no_sound_cache back_from_silence direct_copies restarted_front discovery replaced_machine bare_settings
+    one_answer answer_in_time no_effect_twice drains cold_cache cold_parent lost_machine purges tail_cut
+    repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache many_fronts
+    emptied_caches full_link few_fronts on_its_way walked_together refusing_origin dragging_cache well_again
+    shared_failures parent_copies send_cap failing_parent room_in_budget silent_cache no_sound_cache
+    back_from_silence direct_copies restarted_front discovery replaced_machine bare_settings
 }
