--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -270,8 +270,15 @@
                 Ok(answered) => answered.ending(),
                 Err(fault) => fault.ending(),
             };
-            if let Err(fault) = &result {
-                debug!(self.log, "send failed"; "lookup" => &taken.request.txn, "why" => %fault);
+            match &result {
+                Ok(Answered { head, .. }) if ending != Ending::Satisfied => {
+                    debug!(self.log, "send unsatisfied"; "lookup" => &taken.request.txn,
+                        "kind" => &taken.request.verb, "status" => head.status, "note" => head.note);
+                }
+                Ok(_) => {}
+                Err(fault) => {
+                    debug!(self.log, "send failed"; "lookup" => &taken.request.txn, "why" => %fault);
+                }
             }
             let mut outcome = Outcome {
                 id: out.lookup,
