--- a/crates/front/src/frame.rs
+++ b/crates/front/src/frame.rs
@@ -99,6 +99,7 @@
     pub slice: u32,
     pub set: u32,
     pub seen: Option<String>,
+    /// 0 where clients do not tell it.
     pub size_kb: f64,
     pub body: Vec<u8>,
 }
@@ -144,7 +145,13 @@
         slice: read("slice", get("slice").unwrap_or("0"))?,
         set: read("set", get("set").unwrap_or("0"))?,
         seen: optional("seen")?,
-        size_kb: 0.0,
+        size_kb: read("ram", get("ram").unwrap_or("0")).map(|kb: f64| {
+            if kb.is_finite() {
+                kb.max(0.0)
+            } else {
+                0.0
+            }
+        })?,
         body: body.to_vec(),
     })
 }
@@ -179,13 +186,14 @@
 mod tests {
     use super::*;
 
-    const FIELDS: [(&str, &str); 6] = [
+    const FIELDS: [(&str, &str); 7] = [
         ("verb", "segment"),
         ("txn", "9b1f03aa5c7e2d41"),
         ("limit", "1500"),
         ("item", "7f3a9c21e0b4d655"),
         ("slice", "3"),
         ("set", "17"),
+        ("ram", "25.435"),
     ];
 
     fn frame(fields: &[(&str, &str)]) -> Vec<u8> {
@@ -204,6 +212,7 @@
         assert_eq!((got.kind, got.stream, HEAD + got.payload.len()), (ASK, 7, bytes.len() - 4));
         let request = request(got.payload).unwrap();
         assert_eq!((request.object, request.slice, request.set), (0x7f3a_9c21_e0b4_d655, 3, 17));
+        assert_eq!(request.size_kb, 25.435);
         assert_eq!((request.txn.as_str(), request.body.as_slice()), ("9b1f03aa5c7e2d41", &b"abc"[..]));
     }
 
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -320,23 +320,11 @@
     }
 }
 
-/// Names of load figures on this wire, where they differ from those in the settings.
-const LOADS: [(&str, &str); 6] = [
-    ("inflight", "busy_reqs"),
-    ("queue", "pending"),
-    ("util", "cpu_share"),
-    ("latency_ms", "svc_ms"),
-    ("qps", "served_ps"),
-    ("eps", "failed_ps"),
-];
-
 /// A load report in the order of the settings; none where none came.
 pub fn report(load: &[(String, f64)], fields: &[String]) -> Vec<f64> {
     if load.is_empty() {
         return Vec::new();
     }
-    let told = |name: &str| LOADS.iter().find(|l| l.0 == name).map_or(name.to_string(), |l| l.1.to_string());
-    let value =
-        |field: &String| load.iter().find(|(n, _)| n == field || told(n) == *field).map_or(0.0, |l| l.1);
+    let value = |field: &String| load.iter().find(|(name, _)| name == field).map_or(0.0, |l| l.1);
     fields.iter().map(value).collect()
 }
