--- /dev/null
+++ b/crates/front/tests/sockets.rs
@@ -0,0 +1,690 @@
+//! Starts the program and speaks to it over loopback sockets, against stand-ins for caches and the journal
+//! service. Waits end by what arrives; the long time limits only turn a hang into a failure.
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const HANG: Duration = Duration::from_secs(20);
+const OBJECT: &str = "7f3a9c21e0b4d655";
+
+/// What a stand-in cache does with a request.
+#[derive(Clone)]
+enum Does {
+    Answers(String, Vec<u8>),
+    /// Writes this as it is, then closes.
+    Closes(Vec<u8>),
+    Nothing,
+}
+
+fn says(status: &str, headers: &str, body: &[u8]) -> Does {
+    Does::Answers(
+        format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n", body.len()),
+        body.to_vec(),
+    )
+}
+
+fn ok(body: &[u8]) -> Does {
+    says("200 OK", "X-Cache: TCP_HIT\r\nVersion: 1\r\nIssued-At: 1\r\n", body)
+}
+
+/// What a stand-in cache has seen: a request with the number of its connection, or the end of that.
+#[derive(Debug, PartialEq)]
+enum Seen {
+    Request(usize, String, Vec<u8>),
+    End(usize),
+}
+
+struct Cache {
+    address: SocketAddr,
+    does: Arc<Mutex<Does>>,
+    seen: Receiver<Seen>,
+}
+
+impl Cache {
+    fn start(does: Does) -> Cache {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let does = Arc::new(Mutex::new(does));
+        let (tell, seen) = channel();
+        let script = Arc::clone(&does);
+        thread::spawn(move || {
+            for (number, stream) in listener.incoming().flatten().enumerate() {
+                let (script, tell) = (Arc::clone(&script), tell.clone());
+                thread::spawn(move || Cache::serve(number, stream, &script, &tell));
+            }
+        });
+        Cache { address, does, seen }
+    }
+
+    fn serve(number: usize, mut stream: TcpStream, does: &Mutex<Does>, tell: &Sender<Seen>) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        loop {
+            let (mut head, mut line) = (String::new(), String::new());
+            while matches!(reader.read_line(&mut line), Ok(n) if n > 2) {
+                head.push_str(&line);
+                line.clear();
+            }
+            if head.is_empty() {
+                let _ = tell.send(Seen::End(number));
+                return;
+            }
+            let length = header(&head, "Content-Length").map_or(0, |n| n.parse().unwrap());
+            let mut body = vec![0; length];
+            reader.read_exact(&mut body).unwrap();
+            let does = does.lock().unwrap().clone();
+            let _ = tell.send(Seen::Request(number, head, body));
+            let written = match does {
+                Does::Answers(head, body) => stream.write_all(&[head.as_bytes(), &body[..]].concat()),
+                Does::Closes(bytes) => {
+                    let _ = stream.write_all(&bytes);
+                    return;
+                }
+                Does::Nothing => Ok(()),
+            };
+            if written.is_err() {
+                let _ = tell.send(Seen::End(number));
+                return;
+            }
+        }
+    }
+
+    fn does(&self, does: Does) {
+        *self.does.lock().unwrap() = does;
+    }
+
+    fn request(&self) -> (usize, String, Vec<u8>) {
+        match self.seen.recv_timeout(HANG).expect("a request") {
+            Seen::Request(number, head, body) => (number, head, body),
+            Seen::End(_) => self.request(),
+        }
+    }
+
+    fn end(&self, number: usize) {
+        while self.seen.recv_timeout(HANG).expect("the end of a connection") != Seen::End(number) {}
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().filter_map(|l| l.split_once(": ")).find(|(n, _)| *n == name).map(|(_, v)| v.trim())
+}
+
+struct Journal {
+    address: SocketAddr,
+    greeted: Receiver<(String, TcpStream)>,
+}
+
+impl Journal {
+    fn start() -> Journal {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (tell, greeted) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut line = String::new();
+                let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut line);
+                let _ = tell.send((line, stream));
+            }
+        });
+        Journal { address, greeted }
+    }
+
+    fn greeting(&self) -> (String, TcpStream) {
+        self.greeted.recv_timeout(HANG).expect("a greeting")
+    }
+}
+
+fn member(id: &str, flavor: &str, address: SocketAddr, phase: &str) -> Value {
+    let locality = if flavor == "std" { "east" } else { "main" };
+    json!({"id": id, "host_port": address.to_string(), "locality": locality, "flavor": flavor, "cell": 1,
+        "phase": phase, "size": 1, "up_since_ms": 0})
+}
+
+fn config(caches: &[(&str, SocketAddr)], journal: SocketAddr) -> Value {
+    let nowhere: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let mut members =
+        vec![member("s-p", "parent", nowhere, "SERVING"), member("s-o", "origin", nowhere, "SERVING")];
+    members.extend(caches.iter().map(|(id, address)| member(id, "std", *address, "SERVING")));
+    let class = |name: &str, repeat: &str| {
+        json!({"name": name, "repeat": repeat, "goal_time_s": 0.5, "deadline_s": 3.0, "aim_stretch": 2.0,
+            "group": "all", "key_ttl_s": 5.0, "worth": 1.0})
+    };
+    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "journal": journal.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": true, "members": members}}]},
+        "settings": {
+            "balancers": 1, "locality": 1, "zones": ["main", "east"], "host_types": ["std", "parent", "origin"],
+            "classes": [class("map", "safe"), class("order", "unsafe")], "weight_kind": "off",
+            "feedback": {"fields": ["cpu_share"], "source": "inline"},
+            "guarantees": {"cold_from": 0.2, "warm_after_s": 10.0, "overload_factor": 3.0, "overload_for_s": 3.0},
+            "limits": {"cancel": true, "conn_idle_s": 30.0, "connect_timeout_s": 0.4, "max_open": 20000,
+                "retry_after": true, "max_retry_after_s": 1.0, "send_cap": 4},
+            "specifics": {"origin_kind": 2, "second_tier_kind": 1, "says": "all", "pass_through_ok": false,
+                "goes_through": [false, true], "max_age_s": [0.0, 0.0], "stale_for_s": [0.0, 0.0],
+                "shares_fills": false, "purge_settles_s": 600.0, "upper_cold_from": 0.1,
+                "parent_warms_in_s": 10.0, "parent_fall_multiple": 2.0, "zone_balancers": [0, 1]}}})
+}
+
+struct Program {
+    child: Child,
+    address: SocketAddr,
+    _config: tempfile::TempPath,
+}
+
+impl Program {
+    fn command(config: &Value) -> (Command, tempfile::TempPath) {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(config.to_string().as_bytes()).unwrap();
+        let path = file.into_temp_path();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_meadowrill"));
+        command.env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
+        (command, path)
+    }
+
+    fn start(config: &Value) -> Program {
+        let (mut command, path) = Program::command(config);
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        while !line.contains("listening") {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened");
+        }
+        let at = line.split("at: ").nth(1).and_then(|rest| rest.split(',').next()).unwrap();
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Program { child, address: at.parse().unwrap(), _config: path }
+    }
+
+    /// With one cache and a journal service that says nothing more.
+    fn simple(cache: &Cache) -> (Program, Journal) {
+        let journal = Journal::start();
+        (Program::start(&config(&[("s-a", cache.address)], journal.address)), journal)
+    }
+
+    fn terminate(&self) {
+        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+    }
+
+    fn alive(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[derive(Debug, PartialEq)]
+struct Frame {
+    kind: u8,
+    stream: u32,
+    payload: Vec<u8>,
+}
+
+impl Frame {
+    fn code(&self) -> u8 {
+        self.payload[0]
+    }
+
+    /// Fields and body of an answer.
+    fn parts(&self) -> (Vec<(String, String)>, &[u8]) {
+        let (mut rest, mut fields) = (&self.payload[2..], Vec::new());
+        for _ in 0..self.payload[1] {
+            let (name, after) = rest[1..].split_at(usize::from(rest[0]));
+            let size = usize::from(u16::from_le_bytes([after[0], after[1]]));
+            let (value, after) = after[2..].split_at(size);
+            fields.push((String::from_utf8_lossy(name).into(), String::from_utf8_lossy(value).into()));
+            rest = after;
+        }
+        (fields, rest)
+    }
+}
+
+fn frame(kind: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let length = (payload.len() as u32 + 5).to_le_bytes();
+    [&length[..], &[kind], &stream.to_le_bytes(), payload].concat()
+}
+
+fn fields(fields: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = vec![fields.len() as u8];
+    for (name, value) in fields {
+        out.push(name.len() as u8);
+        out.extend(name.as_bytes());
+        out.extend((value.len() as u16).to_le_bytes());
+        out.extend(value.as_bytes());
+    }
+    out
+}
+
+fn ask(stream: u32, verb: &str, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let txn = format!("{stream:016x}");
+    let mut all = vec![("verb", verb), ("txn", &txn), ("item", OBJECT), ("slice", "3"), ("set", "17")];
+    all.extend(more);
+    if !more.iter().any(|f| f.0 == "limit") {
+        all.push(("limit", "9000"));
+    }
+    frame(65, stream, &[fields(&all), body.to_vec()].concat())
+}
+
+struct Client(TcpStream);
+
+impl Client {
+    fn new(program: &Program) -> Client {
+        let stream = TcpStream::connect(program.address).unwrap();
+        stream.set_read_timeout(Some(HANG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Client(stream)
+    }
+
+    /// One for which the kernel takes little, so that what it does not read stays with the front.
+    fn slow(program: &Program) -> Client {
+        let client = Client::new(program);
+        rustix::net::sockopt::set_socket_recv_buffer_size(&client.0, 131_072).unwrap();
+        client
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).unwrap();
+    }
+
+    /// The next frame; none once the front has closed.
+    fn next(&mut self) -> Option<Frame> {
+        let mut head = [0; 9];
+        match self.0.read_exact(&mut head) {
+            Err(e) if matches!(e.kind(), ErrorKind::UnexpectedEof | ErrorKind::ConnectionReset) => {
+                return None
+            }
+            other => other.unwrap(),
+        }
+        let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
+        let mut payload = vec![0; length - 5];
+        self.0.read_exact(&mut payload).unwrap();
+        let stream = u32::from_le_bytes([head[5], head[6], head[7], head[8]]);
+        Some(Frame { kind: head[4], stream, payload })
+    }
+
+    fn answer(&mut self) -> Frame {
+        self.next().expect("an answer")
+    }
+
+    fn lookup(&mut self, stream: u32, verb: &str) -> Frame {
+        self.write(&ask(stream, verb, &[], b""));
+        self.answer()
+    }
+
+    /// Whatever was written before has been dealt with once this is answered.
+    fn ready(&mut self) -> u8 {
+        self.write(&frame(80, 0, &[0]));
+        let answer = self.answer();
+        assert_eq!((answer.kind, answer.stream), (81, 0));
+        answer.code()
+    }
+}
+
+fn now_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
+
+#[test]
+fn a_lookup_is_satisfied_with_bytes_unchanged_however_frames_are_cut() {
+    let body: Vec<u8> = (0..240_000u32).map(|i| (i * 7 % 251) as u8).collect();
+    let cache = Cache::start(ok(&body));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    assert_eq!(client.ready(), 0);
+    for byte in ask(1, "map", &[], b"") {
+        client.write(&[byte]);
+    }
+    let answer = client.answer();
+    assert_eq!((answer.kind, answer.stream, answer.code()), (66, 1, 0));
+    assert!(answer.parts().1 == body);
+    let (first, head, _) = cache.request();
+    assert!(head.starts_with(&format!("GET /data/map/{OBJECT}/3 HTTP/1.1\r\n")));
+    assert_eq!(header(&head, "X-Req"), Some("0000000000000001"));
+    assert_eq!(header(&head, "Upstream"), Some("s-p"));
+    assert!((1..=9000).contains(&header(&head, "X-Wait-Ms").unwrap().parse().unwrap()));
+    // Joined in one write; a kept connection serves one of them.
+    let both = [ask(2, "map", &[], b""), ask(3, "map", &[], b"")].concat();
+    client.write(&both);
+    let mut streams = [client.answer(), client.answer()].map(|a| (a.stream, a.code()));
+    streams.sort_unstable();
+    assert_eq!(streams, [(2, 0), (3, 0)]);
+    assert!([cache.request().0, cache.request().0].contains(&first));
+}
+
+#[test]
+fn a_copy_that_the_client_holds_is_told_current() {
+    let cache = Cache::start(Does::Answers("HTTP/1.1 304 Same\r\nVersion: abc\r\n\r\n".into(), Vec::new()));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("seen", "abc")], b""));
+    let answer = client.answer();
+    assert_eq!(answer.code(), 0);
+    assert_eq!(answer.parts(), (vec![("current".into(), "1".into())], &b""[..]));
+    assert_eq!(header(&cache.request().1, "Known-Version"), Some("abc"));
+}
+
+#[test]
+fn key_and_body_go_on_unchanged() {
+    let cache = Cache::start(ok(b"done"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    let body: Vec<u8> = (0..48_000u32).map(|i| (i % 256) as u8).collect();
+    client.write(&ask(1, "order", &[("unique", "5c0f6e1a2b3d4c59")], &body));
+    assert_eq!(client.answer().code(), 0);
+    let (_, head, got) = cache.request();
+    assert!(got == body);
+    assert_eq!(header(&head, "Idempotency-Key"), Some("5c0f6e1a2b3d4c59"));
+    assert_eq!(header(&head, "Upstream"), Some("s-o"));
+}
+
+#[test]
+fn only_proof_that_nothing_ran_frees_a_send_that_must_not_run_twice() {
+    // Proofs: a nack, and no second send needed. The machine that refuses connections is one that has gone.
+    for proof in ["503 Full\r\nX-Not-Run: 1", "504 Over\r\nX-Not-Run: 1", "404 Not Found"] {
+        let cache = Cache::start(says(proof, "", b""));
+        let (program, _journal) = Program::simple(&cache);
+        assert_eq!(Client::new(&program).lookup(1, "order").code(), 11, "{proof}");
+    }
+    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let journal = Journal::start();
+    let program = Program::start(&config(&[("s-a", gone)], journal.address));
+    assert_eq!(Client::new(&program).lookup(1, "order").code(), 11);
+    // No proof: one send, and failed.
+    let cut = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec();
+    let none = [
+        says("500 Error", "", b""),
+        says("503 Full", "", b""),
+        says("418 Other", "", b""),
+        Does::Closes(Vec::new()),
+        Does::Closes(cut),
+    ];
+    for does in none {
+        let cache = Cache::start(does);
+        let (program, _journal) = Program::simple(&cache);
+        assert_eq!(Client::new(&program).lookup(1, "order").code(), 5);
+        cache.request();
+        assert!(!cache.seen.try_iter().any(|seen| matches!(seen, Seen::Request(..))));
+    }
+}
+
+#[test]
+fn a_kept_connection_that_closes_under_a_send_proves_nothing() {
+    let cache = Cache::start(ok(b"one"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    assert_eq!(client.lookup(1, "order").code(), 0);
+    cache.does(Does::Closes(Vec::new()));
+    assert_eq!(client.lookup(2, "order").code(), 5);
+}
+
+#[test]
+fn bad_answers_never_reach_the_client_as_satisfied() {
+    let bad: [&[u8]; 6] = [
+        b"HTTP/1.1 200 OK\r\n\r\nno length",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfour",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 240001\r\n\r\nlong",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfour",
+        b"220 mail\r\n\r\n",
+    ];
+    for bytes in bad {
+        let cache = Cache::start(Does::Closes(bytes.to_vec()));
+        let (program, _journal) = Program::simple(&cache);
+        let mut client = Client::new(&program);
+        assert_ne!(client.lookup(1, "map").code(), 0, "{}", String::from_utf8_lossy(bytes));
+    }
+    // What comes behind an answer makes the connection unclean: it is not used again.
+    let cache =
+        Cache::start(Does::Answers("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfourextra".into(), vec![]));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    let answer = client.lookup(1, "map");
+    assert_eq!((answer.code(), answer.parts().1), (0, &b"four"[..]));
+    cache.end(cache.request().0);
+}
+
+#[test]
+fn a_cancel_frees_the_lookup_and_its_send() {
+    let cache = Cache::start(Does::Nothing);
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[], b""));
+    let (number, ..) = cache.request();
+    client.write(&frame(67, 1, &[]));
+    cache.end(number);
+    cache.does(ok(b"next"));
+    let answer = client.lookup(2, "map");
+    assert_eq!((answer.stream, answer.code()), (2, 0));
+    // A cancel of what was answered, or never asked, is nothing.
+    client.write(&[frame(67, 2, &[]), frame(67, 9, &[])].concat());
+    assert_eq!(client.ready(), 0);
+}
+
+#[test]
+fn a_client_that_goes_takes_its_sends_along() {
+    let cache = Cache::start(Does::Nothing);
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("limit", "9000")], b""));
+    let (number, ..) = cache.request();
+    // Unread bytes make the kernel reset the connection at the close.
+    client.write(&frame(80, 0, &[0]));
+    client.0.peek(&mut [0]).unwrap();
+    drop(client);
+    cache.end(number);
+}
+
+#[test]
+fn a_silent_machine_ends_in_an_answer_before_the_client_gives_up() {
+    let cache = Cache::start(Does::Nothing);
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    let start = now_ms();
+    client.write(&ask(1, "map", &[("limit", "400")], b""));
+    assert_eq!(client.answer().code(), 11);
+    assert!((400..2000).contains(&(now_ms() - start)));
+    cache.end(cache.request().0);
+    client.write(&ask(2, "order", &[("limit", "400")], b""));
+    assert_eq!(client.answer().code(), 5);
+}
+
+#[test]
+fn bad_frames_are_answered_once_and_hurt_nobody_else() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, _journal) = Program::simple(&cache);
+    let (mut client, mut other) = (Client::new(&program), Client::new(&program));
+    let code = |answer: Frame| (answer.kind, answer.stream, answer.code());
+    assert_eq!(client.lookup(1, "map").code(), 0);
+    // A stream that was used, zero, a type that is none: nothing is said on the stream again.
+    assert_eq!(code(client.lookup(1, "map")), (66, 0, 5));
+    assert_eq!(code(client.lookup(0, "map")), (66, 0, 5));
+    client.write(&frame(99, 7, &[]));
+    assert_eq!(code(client.answer()), (66, 0, 5));
+    // On a new stream that stream is told.
+    assert_eq!(code(client.lookup(2, "nothing-of-the-kind")), (66, 2, 5));
+    client.write(&frame(65, 3, &fields(&[("verb", "map")])));
+    assert_eq!(code(client.answer()), (66, 3, 5));
+    client.write(&frame(65, 4, &[7, 200, 1]));
+    assert_eq!(code(client.answer()), (66, 4, 5));
+    assert_eq!(client.lookup(5, "map").code(), 0);
+    // More than 32 open; in one write, so that none of them has been answered by then.
+    cache.does(Does::Nothing);
+    client.write(&(6..=38).flat_map(|stream| ask(stream, "map", &[], b"")).collect::<Vec<u8>>());
+    assert_eq!(code(client.answer()), (66, 38, 5));
+    assert_eq!(other.ready(), 0);
+    // Framing lost: what is owed is still answered, then the connection ends.
+    let cache = Cache::start(ok(b"fine"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut other = Client::new(&program);
+    other.write(&ask(1, "map", &[], b""));
+    other.write(&[255, 255, 255, 255]);
+    let mut answers = [other.answer(), other.answer()].map(code);
+    answers.sort_unstable();
+    assert_eq!(answers, [(66, 0, 5), (66, 1, 0)]);
+    assert_eq!(other.next(), None);
+    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+}
+
+#[test]
+fn purges_bound_what_is_asked_for_from_then_on() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, journal) = Program::simple(&cache);
+    let (hello, mut service) = journal.greeting();
+    assert_eq!(hello, "tail 1\n");
+    let mut client = Client::new(&program);
+    assert_eq!(client.lookup(1, "map").code(), 0);
+    assert_eq!(header(&cache.request().1, "Oldest-Ms"), None);
+    let stamp = now_ms() - 5000;
+    // Cut within a line, behind one that is bad.
+    let line = format!("{{bad\n{{\"pos\":2,\"expire\":{{\"name\":\"{OBJECT}\",\"stamp\":{stamp}}}}}\n2\n");
+    service.write_all(&line.as_bytes()[..40]).unwrap();
+    service.write_all(&line.as_bytes()[40..]).unwrap();
+    let mut stream = 2;
+    let oldest: u128 = loop {
+        assert_eq!(client.lookup(stream, "map").code(), 0);
+        if let Some(oldest) = header(&cache.request().1, "Oldest-Ms") {
+            break oldest.parse().unwrap();
+        }
+        stream += 1;
+    };
+    assert!(oldest > 0 && oldest <= now_ms() - stamp);
+    // Lost and found again: from the last event on, and no event twice.
+    drop(service);
+    assert_eq!(journal.greeting().0, "tail 2\n");
+}
+
+#[test]
+fn changes_of_the_list_are_followed_and_an_address_may_pass_on() {
+    let (first, second) = (Cache::start(ok(b"first")), Cache::start(ok(b"second")));
+    let journal = Journal::start();
+    let caches = [("s-a", first.address), ("s-b", second.address)];
+    let program = Program::start(&config(&caches, journal.address));
+    let (_, mut service) = journal.greeting();
+    let mut client = Client::new(&program);
+    let body = |answer: Frame| String::from_utf8_lossy(answer.parts().1).into_owned();
+    let before = body(client.lookup(1, "map"));
+    let (drained, id, left) =
+        if before == "first" { (&first, "s-a", &second) } else { (&second, "s-b", &first) };
+    let mut tell = |pos: u64, member: Value| {
+        let line = json!({"pos": pos, "hosts": {"revision": pos, "complete": false, "members": [member]}});
+        service.write_all(format!("{line}\n").as_bytes()).unwrap();
+    };
+    let mut stream = 2;
+    let mut until = |wanted: &dyn Fn(&str) -> bool| {
+        while !wanted(&body(client.lookup(stream, "map"))) {
+            stream += 1;
+        }
+        stream += 1;
+    };
+    let (number, ..) = drained.request();
+    tell(2, member(id, "std", drained.address, "DRAINING"));
+    until(&|body| body != before);
+    // Nothing kept is left to what drains, so a machine that takes its address over starts with its own.
+    drained.end(number);
+    tell(3, member(id, "std", drained.address, "DELETED"));
+    tell(4, member("s-c", "std", drained.address, "SERVING"));
+    tell(5, member(if id == "s-a" { "s-b" } else { "s-a" }, "std", left.address, "DELETED"));
+    until(&|body| body == before);
+    assert!(drained.request().0 > number);
+}
+
+#[test]
+fn a_signal_to_end_leaves_nothing_unanswered() {
+    let cache = Cache::start(Does::Nothing);
+    let (mut program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("limit", "1000")], b""));
+    cache.request();
+    cache.does(ok(b"late"));
+    program.terminate();
+    while client.ready() == 0 {}
+    // Connections and lookups go on coming for a while.
+    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+    assert_eq!(client.lookup(2, "map").code(), 0);
+    let mut rest: Vec<(u8, u32)> = std::iter::from_fn(|| client.next()).map(|f| (f.kind, f.stream)).collect();
+    rest.sort_unstable();
+    assert_eq!(rest, [(66, 1), (90, 0)]);
+    assert!(program.child.wait().unwrap().success());
+}
+
+#[test]
+fn at_the_ceiling_of_descriptors_all_are_answered() {
+    let cache = Cache::start(Does::Nothing);
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["sockets"] = json!(64);
+    let mut program = Program::start(&config);
+    // More connections than clients may have, and more sends than there is room for.
+    let mut clients: Vec<Client> = (0..30).map(|_| Client::new(&program)).collect();
+    for client in &mut clients {
+        for stream in 1..=4 {
+            client.write(&ask(stream, "map", &[("limit", "1000")], b""));
+        }
+    }
+    for mut client in clients {
+        let mut streams: Vec<u32> = (0..4).map(|_| client.answer().stream).collect();
+        streams.sort_unstable();
+        assert_eq!(streams, [1, 2, 3, 4]);
+    }
+    cache.does(ok(b"fine"));
+    assert!(program.alive());
+    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+}
+
+#[test]
+fn slow_readers_fill_no_more_memory_than_there_is() {
+    let body = vec![9; 240_000];
+    let cache = Cache::start(ok(&body));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["memory_mb"] = json!(32);
+    config["settings"]["classes"][0]["deadline_s"] = json!(60.0);
+    let mut program = Program::start(&config);
+    let mut slow: Vec<Client> = (0..8).map(|_| Client::slow(&program)).collect();
+    let mut other = Client::new(&program);
+    let mut asked = 0;
+    // The other is nacked at the latest when rings are full.
+    let turns = (1..=32).flat_map(|stream| (0..8).map(move |ix| (stream, ix)));
+    let full = turns.clone().any(|(stream, ix)| {
+        slow[ix].write(&ask(stream, "map", &[("limit", "2000")], b""));
+        asked += 1;
+        other.lookup(asked, "map").code() == 11
+    });
+    assert!(full, "{asked} were kept somewhere");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+    let peak: usize = peak.trim().trim_end_matches(" kB").parse().unwrap();
+    assert!(peak < 32_000, "{peak} kB");
+    // All of them are read in the end, and whole; then there is room again.
+    for (_, ix) in turns.take(asked as usize) {
+        let answer = slow[ix].answer();
+        assert!(answer.code() != 0 || answer.parts().1 == body);
+    }
+    asked += 1;
+    while other.lookup(asked, "map").code() != 0 {
+        asked += 1;
+    }
+    assert!(program.alive());
+}
+
+#[test]
+fn a_faulty_configuration_ends_with_the_name_of_the_key() {
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let mut config = config(&[], nowhere);
+    config["limits"]["sockets"] = json!("many");
+    let (mut command, _path) = Program::command(&config);
+    let output = command.output().unwrap();
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    assert!(text.contains("limits.sockets: ") && !text.contains("listening"), "{text}");
+}
