--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -270,7 +270,7 @@
     let mut all = vec![("verb", verb), ("txn", &txn), ("item", OBJECT), ("slice", "3"), ("set", "17")];
     all.extend(more);
     if !more.iter().any(|f| f.0 == "limit") {
-        all.push(("limit", "9000"));
+        all.push(("limit", "2000"));
     }
     frame(65, stream, &[fields(&all), body.to_vec()].concat())
 }
@@ -351,7 +351,7 @@
     assert!(head.starts_with(&format!("GET /data/map/{OBJECT}/3 HTTP/1.1\r\n")));
     assert_eq!(header(&head, "X-Req"), Some("0000000000000001"));
     assert_eq!(header(&head, "Upstream"), Some("s-p"));
-    assert!((1..=9000).contains(&header(&head, "X-Wait-Ms").unwrap().parse().unwrap()));
+    assert!((1..=2000).contains(&header(&head, "X-Wait-Ms").unwrap().parse().unwrap()));
     // Joined in one write; a kept connection serves one of them.
     let both = [ask(2, "map", &[], b""), ask(3, "map", &[], b"")].concat();
     client.write(&both);
