Answers held back at the ceiling are read once rings have room; each client is dealt with alone

Found by reading: a readiness is told once (edge-triggered), but at the ceiling front.rs dropped it with the key, so an answer held back there came only with the next byte or its time limit.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,7 +14,7 @@
 use meadowrill_core::interface::*;
 use slog::{debug, error, info, warn, Logger};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -85,8 +85,8 @@
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     serial: u64,
     events: Vec<Event>,
-    /// Readable cache connections that wait until rings have room again.
-    held_back: Vec<Key>,
+    /// Cache connections that wait until rings have room again.
+    held_back: BTreeSet<Key>,
     ending: Option<Micros>,
     /// When the last lookup was done with, once the front is ending.
     done_at: Option<Micros>,
@@ -122,7 +122,7 @@
             timers: BinaryHeap::new(),
             serial: 0,
             events: Vec::new(),
-            held_back: Vec::new(),
+            held_back: BTreeSet::new(),
             ending: None,
             done_at: None,
             clock,
@@ -162,7 +162,7 @@
 
     fn ended(&mut self) -> bool {
         let now = self.clock.now();
-        if self.ending.is_none_or(|at| now < at + LINGER) || !self.lookups.is_empty() {
+        if self.listener.is_some() || !self.lookups.is_empty() {
             self.done_at = None;
             return false;
         }
@@ -174,7 +174,9 @@
     /// answered, so that no time limit overtakes an answer that is there; then what clients say.
     fn gather(&mut self, gathered: &mut Gathered, now: Micros) {
         if self.poll.tally.bytes() < self.config.buffers {
-            gathered.extend(self.held_back.drain(..).map(|key| (key, Readiness::EMPTY)));
+            // Told once only, so that what was said of them then must be said again.
+            let both = Readiness { readable: true, writable: true, error: false };
+            gathered.extend(std::mem::take(&mut self.held_back).into_iter().map(|key| (key, both)));
         }
         gathered.sort_by_key(|(key, _)| *key);
         for (key, ready) in gathered.drain(..) {
@@ -214,9 +216,18 @@
             }
             // Answers stay with the kernel until those before them have left: memory is bounded, and time
             // limits go on.
-            Key::Cache(_) if self.poll.tally.bytes() >= self.config.buffers => self.held_back.push(key),
-            Key::Cache(number) => self.caches.handle(number, ready, now, &mut self.poll),
-            Key::Client(number) => self.clients.handle(number, ready, now, &mut self.poll),
+            Key::Cache(_) if self.poll.tally.bytes() >= self.config.buffers => {
+                self.held_back.insert(key);
+            }
+            // Each is dealt with before the next is read: together they could hold more than there is.
+            Key::Cache(number) => {
+                self.caches.handle(number, ready, now, &mut self.poll);
+                self.ends(now);
+            }
+            Key::Client(number) => {
+                self.clients.handle(number, ready, now, &mut self.poll);
+                self.hear(now);
+            }
         }
     }
 
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -118,6 +118,8 @@
                         heard.push(Heard::Bad { client: number, fault });
                         client.deaf = true;
                         client.reply(0, frame::FAILED)?;
+                        // What it would still ask could not be found: it is to ask elsewhere.
+                        client.put(&frame::head(frame::NO_MORE, 0, None, None, 0), &[])?;
                         break;
                     }
                 };
