--- a/crates/front/src/ring.rs
+++ b/crates/front/src/ring.rs
@@ -5,7 +5,7 @@
 use std::io::IoSlice;
 use std::rc::Rc;
 
-/// What an emptied ring keeps of its memory; more is given back, lest idle connections sit on what a burst took.
+/// What a ring keeps of its memory in any case; of more, what is not used is given back, lest idle connections sit on what a burst took.
 const KEPT: usize = 4096;
 
 /// Bytes that all rings of the front hold at the moment.
@@ -67,8 +67,8 @@
 
     pub fn drop_front(&mut self, n: usize) {
         self.bytes.drain(..n);
-        if self.bytes.is_empty() && self.bytes.capacity() > KEPT {
-            self.bytes = VecDeque::new();
+        if self.bytes.capacity() > KEPT.max(4 * self.bytes.len()) {
+            self.bytes.shrink_to(2 * self.bytes.len());
         }
         self.count();
     }
@@ -109,7 +109,9 @@
         let mut ring = Ring::new(1 << 20, &tally);
         ring.put(&[7; 100_000]).unwrap();
         assert!(tally.bytes() >= 100_000);
-        ring.drop_front(100_000);
+        ring.drop_front(90_000);
+        assert!(tally.bytes() <= 40_000);
+        ring.drop_front(10_000);
         assert!(tally.bytes() <= KEPT);
         ring.put(&[7; 5000]).unwrap();
         drop(ring);
