--- a/crates/front/src/ring.rs
+++ b/crates/front/src/ring.rs
@@ -50,6 +50,13 @@
         if bytes.len() > self.room() {
             return Err(Full);
         }
+        let wanted = self.bytes.len() + bytes.len();
+        if wanted > self.bytes.capacity() {
+            // Doubled, but never past the bound: many rings that each wait for the end of a longest frame
+            // would together hold twice what the bound allows for.
+            let most = wanted.next_power_of_two().min(self.most);
+            self.bytes.reserve_exact(most - self.bytes.len());
+        }
         self.bytes.extend(bytes);
         self.count();
         Ok(())
@@ -103,6 +110,16 @@
         assert_eq!(ring.whole(), b"ghijklmnop");
     }
 
+    #[test]
+    fn grows_by_doubling_but_not_past_its_bound() {
+        let tally = Tally::default();
+        let mut ring = Ring::new(150_000, &tally);
+        ring.put(&[7; 70_000]).unwrap();
+        assert!((70_000..150_000).contains(&tally.bytes()));
+        ring.put(&[7; 70_000]).unwrap();
+        assert_eq!(tally.bytes(), 150_000);
+    }
+
     #[test]
     fn what_it_holds_is_counted_and_given_back() {
         let tally = Tally::default();
