At the memory ceiling only reading from caches waits; requests are still written

Found by reading: at the ceiling front.rs put off all that a cache connection was ready for, also a connect that had come up, so after connect_timeout_s the send ended as 'not connected' and the module would have held a sound machine for lost. Only the reading is put off now.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -179,9 +179,8 @@
     /// answered, so that no time limit overtakes an answer that is there; then what clients say.
     fn gather(&mut self, gathered: &mut Gathered, now: Micros) {
         if self.poll.tally.bytes() < self.config.buffers {
-            // Told once only, so that what was said of them then must be said again.
-            let both = Readiness { readable: true, writable: true, error: false };
-            gathered.extend(std::mem::take(&mut self.held_back).into_iter().map(|key| (key, both)));
+            gathered
+                .extend(std::mem::take(&mut self.held_back).into_iter().map(|key| (key, Readiness::EMPTY)));
         }
         gathered.sort_by_key(|(key, _)| *key);
         for (key, ready) in gathered.drain(..) {
@@ -217,14 +216,15 @@
                 self.journal.handle(key, ready, now, &mut self.poll, &mut news);
                 news.into_iter().for_each(|news| self.told(news, now));
             }
-            // Answers stay with the kernel until those before them have left: memory is bounded, and time
-            // limits go on.
-            Key::Cache(_) if self.poll.tally.bytes() >= self.config.buffers => {
-                self.held_back.insert(key);
-            }
             // Each is dealt with before the next is read: together they could hold more than there is.
             Key::Cache(number) => {
-                self.caches.handle(number, ready, now, &mut self.poll);
+                // Answers stay with the kernel until those before them have left: memory is bounded, while
+                // requests go on being written and time limits go on.
+                let room = self.poll.tally.bytes() < self.config.buffers;
+                if !room {
+                    self.held_back.insert(key);
+                }
+                self.caches.handle(number, ready, room, now, &mut self.poll);
                 self.ends(now);
             }
             Key::Client(number) => {
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -251,12 +251,13 @@
         self.drop(number, poll);
     }
 
-    /// What became readable or writable; the round's clock is for how long connections have been idle.
-    pub fn handle(&mut self, number: u64, ready: Readiness, now: Micros, poll: &mut Poll) {
+    /// What became readable or writable; read only where there is room. The round's clock is for how long
+    /// connections have been idle.
+    pub fn handle(&mut self, number: u64, ready: Readiness, room: bool, now: Micros, poll: &mut Poll) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
         conn.link.heard(ready);
         let serial = conn.out.map(|out| out.serial);
-        match Caches::exchange(conn, poll) {
+        match Caches::exchange(conn, room, poll) {
             Ok(None) => {}
             Ok(Some(answered)) => {
                 let clean =
@@ -279,7 +280,7 @@
         }
     }
 
-    fn exchange(conn: &mut Conn, poll: &mut Poll) -> Result<Option<Answered>, Cause> {
+    fn exchange(conn: &mut Conn, room: bool, poll: &mut Poll) -> Result<Option<Answered>, Cause> {
         if !conn.up {
             conn.up = conn.link.arrived().map_err(Cause::Io)?;
             if !conn.up {
@@ -288,6 +289,9 @@
         }
         // A peer may answer before it has read all, and close: what it said counts.
         let flushed = conn.link.flush();
+        if !room {
+            return flushed.map(|()| None).map_err(Cause::Io);
+        }
         let (ended, broken) = match poll.fill(&mut conn.link) {
             Ok(ended) => (ended, None),
             Err(e) => (true, Some(e)),
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -570,6 +570,15 @@
     oldest(5000);
 }
 
+#[test]
+fn a_journal_service_that_falls_silent_is_asked_anew_and_does_not_stop_service() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, journal) = Program::simple(&cache);
+    let (_, _kept_open) = journal.greeting();
+    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+    assert_eq!(journal.greeting().0, "tail 1\n");
+}
+
 #[test]
 fn changes_of_the_list_are_followed_and_an_address_may_pass_on() {
     let (first, second) = (Cache::start(ok(b"first")), Cache::start(ok(b"second")));
