A log that cannot be written, or that nobody reads, neither ends the front nor holds up its end

Found by reading main.rs: the drains were fused, so a closed standard error would have panicked the log's thread and then the loop, a crash; and the end waited for the log's thread, which waits for its reader. The new test hangs without the change (stopped after 40 s), passes with it. Lines that can't be written are now lost, and the end waits 0.2 s for the last ones.

--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -13,19 +13,22 @@
 use slog::{crit, info, o, Drain, LevelFilter, Logger};
 use std::net::TcpListener;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// Lines that wait for a reader of the log; what goes beyond is dropped and counted.
 const WAITING: usize = 1024;
+const LAST_LINES: Duration = Duration::from_millis(200);
 
 /// Serving runs on one thread and must not wait for whoever reads the log, so the log has one of its own.
 fn log(config: &Config) -> (Logger, slog_async::AsyncGuard) {
     let plain = slog_term::PlainDecorator::new(std::io::stderr());
-    let lines = slog_term::FullFormat::new(plain).use_utc_timestamp().build().fuse();
+    let lines = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
     let (drain, guard) = slog_async::Async::new(lines)
         .chan_size(WAITING)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
-    let drain = LevelFilter::new(drain.fuse(), config.log).fuse();
+    // A log that cannot be written is no reason to end.
+    let drain = LevelFilter::new(drain, config.log).ignore_res();
     (Logger::root(drain, o!("front" => config.name.clone())), guard)
 }
 
@@ -37,17 +40,26 @@
         gathered.push((net::Key::Signal, Readiness::EMPTY));
     };
     poll.handle().insert_source(signals, told).map_err(|e| format!("signals: {e}"))?;
-    let (log, _guard) = log(&config);
+    let (log, guard) = log(&config);
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
     let at = listener.local_addr().map_err(|e| e.to_string())?;
     info!(log, "listening"; "at" => %at, "clients" => config.clients, "caches" => config.caches,
         "buffers" => config.buffers);
-    front::Front::new(config, listener, &poll, log.clone())
+    let ended = front::Front::new(config, listener, &poll, log.clone())
         .and_then(|mut front| front.run(&mut poll))
         .map_err(|e| {
             crit!(log, "ended"; "error" => %e);
             e.to_string()
-        })
+        });
+    // The last lines are waited for, but not for a reader that has stopped reading.
+    let (tell, written) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(guard);
+        let _ = tell.send(());
+    });
+    let _ = written.recv_timeout(LAST_LINES);
+    std::mem::forget(log);
+    ended
 }
 
 fn main() -> ExitCode {
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -4,7 +4,7 @@
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -173,6 +173,7 @@
 struct Program {
     child: Child,
     address: SocketAddr,
+    log: Option<BufReader<ChildStderr>>,
     _config: tempfile::TempPath,
 }
 
@@ -187,6 +188,14 @@
     }
 
     fn start(config: &Value) -> Program {
+        let mut program = Program::unread(config);
+        let mut log = program.log.take().unwrap();
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        program
+    }
+
+    /// One whose log is read no further than to its address.
+    fn unread(config: &Value) -> Program {
         let (mut command, path) = Program::command(config);
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
@@ -196,8 +205,8 @@
             assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened");
         }
         let at = line.split("at: ").nth(1).and_then(|rest| rest.split(',').next()).unwrap();
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Program { child, address: at.parse().unwrap(), _config: path }
+        let address = at.parse().unwrap();
+        Program { child, address, log: Some(log), _config: path }
     }
 
     /// With one cache and a journal service that says nothing more.
@@ -637,6 +646,30 @@
     assert!(program.child.wait().unwrap().success());
 }
 
+#[test]
+fn a_log_that_nobody_reads_stops_nothing() {
+    for closed in [true, false] {
+        let cache = Cache::start(ok(b"fine"));
+        let journal = Journal::start();
+        let mut program = Program::unread(&config(&[("s-a", cache.address)], journal.address));
+        if closed {
+            program.log = None;
+        }
+        // More lines than a pipe and the queue before it hold.
+        let (_, mut service) = journal.greeting();
+        let purge = json!({"pos": 2, "expire": {"set": 17, "stamp": now_ms() as u64}});
+        service.write_all(format!("{}{purge}\n", "{bad\n".repeat(3000)).as_bytes()).unwrap();
+        let mut client = Client::new(&program);
+        let mut told = (1..10_000).map(|stream| {
+            assert_eq!(client.lookup(stream, "map").code(), 0);
+            header(&cache.request().1, "Oldest-Ms").is_some()
+        });
+        assert!(told.any(|told| told));
+        program.terminate();
+        assert!(program.child.wait().unwrap().success());
+    }
+}
+
 #[test]
 fn at_the_ceiling_of_descriptors_all_are_answered() {
     let caches = [(); 3].map(|()| Cache::start(Does::Nothing));
