Panics are contained at each action and each round too, and are logged with their place

Found by reading: only the handling of a ready connection and the module were guarded; a panic while an action was carried out would have ended the program, a crash. A lookup failed for a panic is told to the module as left, so that what it holds is freed.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -7,17 +7,16 @@
 use crate::net::caches::{report, Answered, Caches, Ended, Out};
 use crate::net::clients::{Clients, Heard};
 use crate::net::journal::{self, Change, Journal, Member, News};
-use crate::net::{Cause, Fault, Gathered, Key, Poll, Reach};
+use crate::net::{contained, Cause, Fault, Gathered, Key, Poll, Reach};
 use calloop::{EventLoop, Readiness, RegistrationToken};
 use meadowrill_core::control;
-use meadowrill_core::door::{panic_text, remark, stable, Indices};
+use meadowrill_core::door::{remark, stable, Indices};
 use meadowrill_core::interface::*;
 use slog::{debug, error, info, warn, Logger};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Housekeeping: idle and stuck connections, the journal service.
@@ -184,9 +183,8 @@
         }
         gathered.sort_by_key(|(key, _)| *key);
         for (key, ready) in gathered.drain(..) {
-            let handled = catch_unwind(AssertUnwindSafe(|| self.ready(key, ready, now)));
-            if let Err(panic) = handled {
-                error!(self.log, "panic at a connection"; "key" => ?key, "text" => panic_text(&*panic));
+            if let Err(panic) = contained(|| self.ready(key, ready, now)) {
+                error!(self.log, "panic at a connection"; "key" => ?key, "text" => panic);
                 match key {
                     Key::Client(number) => self.clients.drop(number, &self.poll),
                     Key::Cache(number) => self.caches.panicked(number, &self.poll),
@@ -195,10 +193,15 @@
                 }
             }
         }
-        self.ends(now);
-        self.ring(now);
-        self.admit();
-        self.hear(now);
+        let rest = contained(|| {
+            self.ends(now);
+            self.ring(now);
+            self.admit();
+            self.hear(now);
+        });
+        if let Err(panic) = rest {
+            error!(self.log, "panic in a round"; "text" => panic);
+        }
     }
 
     fn ready(&mut self, key: Key, ready: Readiness, now: Micros) {
@@ -445,17 +448,24 @@
                 Event::Ended(outcome) => Some(outcome.id),
                 _ => None,
             };
-            let heard = catch_unwind(AssertUnwindSafe(|| module.hear(now, event, &mut actions)));
-            if let Err(panic) = heard {
-                error!(self.log, "panic in the decisions"; "text" => panic_text(&*panic));
+            if let Err(panic) = contained(|| module.hear(now, event, &mut actions)) {
+                error!(self.log, "panic in the decisions"; "text" => panic);
                 failed.extend(lookup);
             }
         }
         for action in actions {
-            self.carry_out(action, now);
+            let lookup = match &action {
+                Action::Send { id, .. } | Action::Nack { id, .. } | Action::Fail { id } => Some(*id),
+                _ => None,
+            };
+            if let Err(panic) = contained(|| self.carry_out(action, now)) {
+                error!(self.log, "panic at an action"; "text" => panic);
+                failed.extend(lookup);
+            }
         }
         for lookup in failed {
             self.answer(lookup, (frame::FAILED, &[], &[]), now);
+            self.events.push(Event::Left { id: lookup });
         }
         self.ends(now);
         self.hear(now);
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -10,7 +10,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Readiness};
 use config::Config;
-use slog::{crit, info, o, Drain, LevelFilter, Logger};
+use slog::{crit, error, info, o, Drain, LevelFilter, Logger};
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -41,6 +41,9 @@
     };
     poll.handle().insert_source(signals, told).map_err(|e| format!("signals: {e}"))?;
     let (log, guard) = log(&config);
+    // Where a panic was belongs into the log; the usual report would wait for whoever reads standard error.
+    let told = log.clone();
+    std::panic::set_hook(Box::new(move |panic| error!(told, "panic"; "what" => %panic)));
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
     let at = listener.local_addr().map_err(|e| e.to_string())?;
     info!(log, "listening"; "at" => %at, "clients" => config.clients, "caches" => config.caches,
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -8,11 +8,13 @@
 use crate::ring::{Ring, Tally};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use meadowrill_core::door::panic_text;
 use meadowrill_core::interface::Ending;
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::os::fd::AsFd;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 
 /// Bytes read at once; a share of them goes into the ring of the connection.
@@ -146,6 +148,11 @@
     }
 }
 
+/// Panics stop here: what was being handled ends, the others go on. What one said is returned.
+pub fn contained<T>(handle: impl FnOnce() -> T) -> Result<T, String> {
+    catch_unwind(AssertUnwindSafe(handle)).map_err(|panic| panic_text(&*panic).to_string())
+}
+
 /// How far a send had come when it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -212,3 +219,29 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn panics_are_values() {
+        assert_eq!(contained(|| 7), Ok(7));
+        assert_eq!(
+            contained(|| [1][std::hint::black_box(1)]).unwrap_err().split(':').next(),
+            Some("index out of bounds")
+        );
+    }
+
+    #[test]
+    fn only_what_never_left_whole_proves_that_nothing_ran() {
+        let ending = |reach, cause| Fault { reach, cause }.ending();
+        assert_eq!(ending(Reach::Unsent, Cause::NoDescriptor), Ending::Moot);
+        assert_eq!(ending(Reach::Unconnected, Cause::TimeUp), Ending::Unconnected);
+        assert_eq!(ending(Reach::PartlyWritten, Cause::Closed), Ending::Unconnected);
+        assert_eq!(ending(Reach::Written, Cause::Closed), Ending::Broken);
+        assert_eq!(ending(Reach::Written, Cause::TimeUp), Ending::TimedOut);
+        assert_eq!(ending(Reach::Answering, Cause::Answer(http::Fault::NoLength)), Ending::Error);
+        assert_eq!(ending(Reach::Written, Cause::Withdrawn), Ending::Cancelled);
+    }
+}
