--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -260,6 +260,9 @@
         if member.standing != Standing::Ready {
             self.caches.forget(peer, &self.poll);
         }
+        // The module's lines name machines by their stable numbers; here they can be looked up.
+        info!(self.log, "machine"; "standing" => ?member.standing, "at" => self.addresses.get(&peer).map(|a| a.to_string()),
+            "id" => &member.id, "stable" => format!("{:012x}", stable(&member.id)));
         // What the settings do not name is none of those that they do.
         let place = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX)
