Tidy: one place contains panics, one begins connections, one ends a client's connection

Read once more as a whole; behaviour as before, all tests and their assertions untouched. The adapter and the front each caught panics in their own way: door::contained serves both. Poll::connect stands with what connections share, not with caches, and the caller gives the key, so none is taken apart again. Clients::part ends connections by settle, as every other step does. Gone: an answer's return value that nobody read, the moment of the signal (readiness tells), a second unkeep before drop.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -4,11 +4,10 @@
 
 use codec::{Address, Arrival, Batch, Deed, Line, Malformed};
 use meadowrill_core::control::Front;
-use meadowrill_core::door::{micros, panic_text, remark, settings, Indices};
+use meadowrill_core::door::{contained, micros, remark, settings, Indices};
 use meadowrill_core::interface::*;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::process::ExitCode;
 
 /// One front, with the small indices that its caches were given.
@@ -173,23 +172,20 @@
             let mut actions = Vec::new();
             let played = if let Arrival::Start { prng, env } = arrival {
                 let settings = settings(env.lines().filter_map(|l| l.split_once('=')));
-                catch_unwind(AssertUnwindSafe(|| Front::start(prng, settings, now, &mut actions))).map(
-                    |front| {
-                        self.instances.insert(id, Instance { front, caches: Indices::default() });
-                    },
-                )
+                contained(|| Front::start(prng, settings, now, &mut actions)).map(|front| {
+                    self.instances.insert(id, Instance { front, caches: Indices::default() });
+                })
             } else {
                 let unknown = || bad(format!("instance {id} was never introduced"));
                 let instance = self.instances.get_mut(&id).ok_or_else(unknown)?;
                 let event = instance.event(&self.lists, arrival).map_err(bad)?;
-                catch_unwind(AssertUnwindSafe(|| instance.front.hear(now, event, &mut actions)))
+                contained(|| instance.front.hear(now, event, &mut actions))
             };
             if (played.is_err() || !actions.is_empty()) && speaking != Some(id) {
                 speaking = Some(id);
                 deeds.push(Deed::Speaking(id));
             }
-            if let Err(panic) = played {
-                let text = panic_text(&*panic);
+            if let Err(text) = played {
                 deeds.push(Deed::GiveIn(format!("decision code: {text}")));
                 return Ok(deeds);
             }
--- a/crates/core/src/door.rs
+++ b/crates/core/src/door.rs
@@ -1,9 +1,9 @@
 //! What every host of the decisions needs at its door, whatever wire it speaks.
 
 use crate::interface::{Micros, PeerIx, Remark, Settings};
-use std::any::Any;
 use std::collections::HashMap;
 use std::hash::Hash;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 
 /// Ids of machines to small indices and back; an index that the module forgets is given out again.
 pub struct Indices<K> {
@@ -74,8 +74,10 @@
     }
 }
 
-/// What a caught panic said.
-pub fn panic_text(panic: &(dyn Any + Send)) -> &str {
-    let text = panic.downcast_ref::<String>().map(String::as_str);
-    text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("no message")
+/// Panics stop here: what was being handled ends, the others go on. What one said is returned.
+pub fn contained<T>(handle: impl FnOnce() -> T) -> Result<T, String> {
+    catch_unwind(AssertUnwindSafe(handle)).map_err(|panic| {
+        let text = panic.downcast_ref::<String>().map(String::as_str);
+        text.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("no message").to_string()
+    })
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -7,10 +7,10 @@
 use crate::net::caches::{report, Answered, Caches, Ended, Out};
 use crate::net::clients::{Clients, Heard};
 use crate::net::journal::{self, Change, Journal, Member, News};
-use crate::net::{contained, Cause, Fault, Gathered, Key, Poll, Reach};
+use crate::net::{Cause, Fault, Gathered, Key, Poll, Reach};
 use calloop::{EventLoop, Readiness, RegistrationToken};
 use meadowrill_core::control;
-use meadowrill_core::door::{remark, stable, Indices};
+use meadowrill_core::door::{contained, remark, stable, Indices};
 use meadowrill_core::interface::*;
 use slog::{debug, error, info, warn, Logger};
 use std::cmp::Reverse;
@@ -88,7 +88,6 @@
     events: Vec<Event>,
     /// Cache connections that wait until rings have room again.
     held_back: BTreeSet<Key>,
-    ending: Option<Micros>,
     /// When the last lookup was done with, once the front is ending.
     done_at: Option<Micros>,
 }
@@ -124,7 +123,6 @@
             serial: 0,
             events: Vec::new(),
             held_back: BTreeSet::new(),
-            ending: None,
             done_at: None,
             clock,
             log,
@@ -207,10 +205,9 @@
     fn ready(&mut self, key: Key, ready: Readiness, now: Micros) {
         match key {
             Key::Door => self.knocking = true,
-            Key::Signal if self.ending.is_none() => {
+            Key::Signal if self.clients.ready => {
                 info!(self.log, "ending"; "open" => self.lookups.len());
                 self.clients.ready = false;
-                self.ending = Some(now);
                 self.timers.push(Reverse((now + LINGER, Timer::Part)));
             }
             Key::Signal => {}
@@ -260,16 +257,17 @@
         if member.standing != Standing::Ready {
             self.caches.forget(peer, &self.poll);
         }
+        let stable = stable(&member.id);
         // The module's lines name machines by their stable numbers; here they can be looked up.
         info!(self.log, "machine"; "standing" => ?member.standing, "at" => self.addresses.get(&peer).map(|a| a.to_string()),
-            "id" => &member.id, "stable" => format!("{:012x}", stable(&member.id)));
+            "id" => &member.id, "stable" => format!("{stable:012x}"));
         // What the settings do not name is none of those that they do.
         let place = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX)
         };
         Entry {
             peer,
-            stable: stable(&member.id),
+            stable,
             machine: place(&self.config.machines, &member.flavor),
             since: member.up_since,
             zone: place(&self.config.zones, &member.locality),
@@ -355,7 +353,7 @@
                     }
                 }
                 Timer::Tick => self.tick(now),
-                Timer::Part => self.part(),
+                Timer::Part => self.part(now),
             }
         }
         self.ends(now);
@@ -371,12 +369,12 @@
         self.timers.push(Reverse((now + TICK, Timer::Tick)));
     }
 
-    fn part(&mut self) {
+    fn part(&mut self, now: Micros) {
         // Whoever got as far as the kernel has been accepted by it; take them in before the door closes.
         self.admit();
         if let Some((_, token)) = self.listener.take() {
             self.poll.unwatch(token);
-            self.clients.part(&self.poll);
+            self.clients.part(now, &self.poll);
         }
     }
 
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -4,10 +4,9 @@
 use crate::http;
 use calloop::Readiness;
 use meadowrill_core::interface::{Ending, Micros, PeerIx};
-use rustix::net::{connect as rustix_connect, socket_with, AddressFamily, SocketFlags, SocketType};
 use std::collections::{BTreeSet, HashMap};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 
 /// Bounds of the rings: an answer with its head, a request with the largest body.
 const MOST: (usize, usize) = (http::HEAD + http::BODY, 65_536);
@@ -15,24 +14,6 @@
 /// crosses such a close would prove nothing.
 const BEFORE_IDLE: Micros = 2_000_000;
 
-/// Begins a connection without waiting for it; a refusal may show at once or later.
-pub fn connect(
-    address: SocketAddr,
-    key: fn(u64) -> Key,
-    most: (usize, usize),
-    poll: &mut Poll,
-) -> io::Result<(Key, Link)> {
-    let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-    let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
-    let socket = socket_with(family, SocketType::STREAM, flags, None)?;
-    match rustix_connect(&socket, &address) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
-        Err(e) => return Err(e.into()),
-    }
-    let key = key(poll.key());
-    Ok((key, poll.link(TcpStream::from(socket), key, most)?))
-}
-
 /// Which send of which lookup, and when it went out. The serial tells a connection's uses apart.
 #[derive(Clone, Copy, Debug)]
 pub struct Out {
@@ -175,9 +156,9 @@
         while let Some(&(_, since, number)) =
             self.kept.range((peer, 0, 0)..=(peer, Micros::MAX, 0)).next_back()
         {
-            self.unkeep(peer, since, number);
             // A machine's address may have passed to another.
             if self.conns.get(&number).is_some_and(|c| c.address == address) {
+                self.unkeep(peer, since, number);
                 return Some(number);
             }
             self.drop(number, poll);
@@ -187,19 +168,18 @@
 
     fn open(&mut self, peer: PeerIx, address: SocketAddr, poll: &mut Poll) -> Result<u64, Fault> {
         if self.conns.len() >= self.most {
-            let Some(&(since, number, peer)) = self.oldest.first() else {
+            let Some(&(_, number, _)) = self.oldest.first() else {
                 return Err(Fault { reach: Reach::Unsent, cause: Cause::NoDescriptor });
             };
-            self.unkeep(peer, since, number);
             self.drop(number, poll);
         }
-        let (key, link) = connect(address, Key::Cache, MOST, poll).map_err(|e| {
+        let number = poll.key();
+        let link = poll.connect(address, Key::Cache(number), MOST).map_err(|e| {
             // Out of descriptors or ports says nothing of the machine.
             let refused = e.kind() == io::ErrorKind::ConnectionRefused;
             let reach = if refused { Reach::Unconnected } else { Reach::Unsent };
             Fault { reach, cause: Cause::Io(e) }
         })?;
-        let Key::Cache(number) = key else { unreachable!("made by the line above") };
         let conn = Conn { link, peer, address, up: false, out: None, head: None, idle_since: 0 };
         self.conns.insert(number, conn);
         Ok(number)
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -163,23 +163,22 @@
         Ok(())
     }
 
-    /// The one answer of a lookup; false where none is owed any more.
+    /// The one answer of a lookup, if one is still owed.
     pub fn answer(
         &mut self,
         (number, stream, lookup): (u64, u32, u32),
         (code, fields, body): (u8, &[(&str, &str)], &[u8]),
         now: Micros,
         poll: &Poll,
-    ) -> bool {
-        let Some(client) = self.conns.get_mut(&number) else { return false };
+    ) {
+        let Some(client) = self.conns.get_mut(&number) else { return };
         if client.open.get(&stream) != Some(&lookup) {
-            return false;
+            return;
         }
         client.open.remove(&stream);
         let done =
             client.put(&frame::head(frame::ANSWER, stream, Some(code), Some(fields), body.len()), body);
         self.settle(number, done, now, poll);
-        true
     }
 
     /// After each step with a connection: ends it if it failed or is done, and notes whether it is stuck.
@@ -229,16 +228,14 @@
     }
 
     /// Asks for no new lookups, and ends what has none open; the others end with their last answer.
-    pub fn part(&mut self, poll: &Poll) {
+    pub fn part(&mut self, now: Micros, poll: &Poll) {
         self.parting = true;
         let mut numbers: Vec<u64> = self.conns.keys().copied().collect();
         numbers.sort_unstable();
         for number in numbers {
             let Some(client) = self.conns.get_mut(&number) else { continue };
             let done = client.put(&frame::head(frame::NO_MORE, 0, None, None, 0), &[]);
-            if done.is_err() || (client.open.is_empty() && client.link.outbound.is_empty()) {
-                self.drop(number, poll);
-            }
+            self.settle(number, done, now, poll);
         }
     }
 }
--- a/crates/front/src/net/journal.rs
+++ b/crates/front/src/net/journal.rs
@@ -125,8 +125,9 @@
             return;
         }
         (self.tried_at, self.heard_at) = (now, now);
-        match super::caches::connect(self.address, Key::Journal, (LINE, 64), poll) {
-            Ok((key, mut link)) => {
+        let key = Key::Journal(poll.key());
+        match poll.connect(self.address, key, (LINE, 64)) {
+            Ok(mut link) => {
                 let hello = link.outbound.put(format!("tail {}\n", self.last).as_bytes());
                 debug_assert!(hello.is_ok());
                 self.link = Some((key, link));
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -8,13 +8,12 @@
 use crate::ring::{Ring, Tally};
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
-use meadowrill_core::door::panic_text;
 use meadowrill_core::interface::Ending;
+use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsFd;
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 
 /// Bytes read at once; a share of them goes into the ring of the connection.
@@ -65,6 +64,18 @@
         self.handle.remove(token);
     }
 
+    /// Begins a connection without waiting for it; a refusal may show at once or later.
+    pub fn connect(&self, address: SocketAddr, key: Key, most: (usize, usize)) -> io::Result<Link> {
+        let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+        let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        let socket = socket_with(family, SocketType::STREAM, flags, None)?;
+        match connect(&socket, &address) {
+            Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
+            Err(e) => return Err(e.into()),
+        }
+        self.link(TcpStream::from(socket), key, most)
+    }
+
     pub fn link(&self, stream: TcpStream, key: Key, most: (usize, usize)) -> io::Result<Link> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
@@ -148,11 +159,6 @@
     }
 }
 
-/// Panics stop here: what was being handled ends, the others go on. What one said is returned.
-pub fn contained<T>(handle: impl FnOnce() -> T) -> Result<T, String> {
-    catch_unwind(AssertUnwindSafe(handle)).map_err(|panic| panic_text(&*panic).to_string())
-}
-
 /// How far a send had come when it failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -223,6 +229,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use meadowrill_core::door::contained;
 
     #[test]
     fn panics_are_values() {
