--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -6,6 +6,9 @@
 use slog::Level;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::Arc;
 
 /// Where nothing is said: the least that the platform gives a front.
 const MEMORY_MB: f64 = 192.0;
@@ -33,8 +36,25 @@
     Faulty { key: key.into(), what: what.into() }
 }
 
+/// The level of the log, which may change while the log's own thread reads it.
+#[derive(Clone, Debug)]
+pub struct Shown(Arc<AtomicUsize>);
+
+impl Shown {
+    fn new(level: Level) -> Shown {
+        Shown(Arc::new(AtomicUsize::new(level.as_usize())))
+    }
+
+    pub fn shows(&self, level: Level) -> bool {
+        level.as_usize() <= self.0.load(Relaxed)
+    }
+}
+
 #[derive(Debug)]
 pub struct Config {
+    path: PathBuf,
+    /// As it was read, to tell what a later one changes.
+    text: Value,
     pub name: String,
     pub listen: SocketAddr,
     pub journal: SocketAddr,
@@ -42,9 +62,9 @@
     /// What the module is handed.
     pub settings: Settings,
     pub known: Value,
-    pub log: Level,
+    pub log: Shown,
     /// Names in the order of the settings: their places are what the module knows.
-    pub classes: Vec<String>,
+    pub classes: Vec<Class>,
     pub zones: Vec<String>,
     pub machines: Vec<String>,
     pub reports: Vec<String>,
@@ -59,6 +79,16 @@
     pub buffers: usize,
 }
 
+/// What bounds the lookups of a class.
+#[derive(Debug, PartialEq)]
+pub struct Class {
+    pub name: String,
+    /// With what rounding may add.
+    pub deadline_ms: f64,
+    /// Its lookups carry a mark against repeats.
+    pub keyed: bool,
+}
+
 /// A part of the configuration with its path.
 struct Node<'a> {
     value: Option<&'a Value>,
@@ -135,6 +165,26 @@
 }
 
 impl Config {
+    pub fn load(path: PathBuf, env: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
+        let text = std::fs::read_to_string(&path);
+        let text = text.map_err(|e| faulty("BALANCER_CONFIG", format!("{}: {e}", path.display())))?;
+        Ok(Config { path, ..Config::read(&text, env)? })
+    }
+
+    /// The file as it stands now, checked as at the start.
+    pub fn again(&self) -> Result<Config, Faulty> {
+        Config::load(self.path.clone(), |name| std::env::var(name).ok())
+    }
+
+    /// Takes over what may change while the front runs; the keys of what else has changed are returned.
+    /// `known` is that of a start: the journal service tells what came after.
+    pub fn renew(&mut self, fresh: Config) -> Vec<&'static str> {
+        self.journal = fresh.journal;
+        self.log.0.store(fresh.log.0.load(Relaxed), Relaxed);
+        let fixed = ["name", "listen", "seed", "limits", "settings", "flow_bytes_per_s", "link_bytes_per_s"];
+        fixed.into_iter().filter(|key| self.text.get(key) != fresh.text.get(key)).collect()
+    }
+
     /// From the text of the configuration; name and address from the environment where it tells none.
     pub fn read(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
         let json: Value = serde_json::from_str(text).map_err(|e| faulty("BALANCER_CONFIG", e.to_string()))?;
@@ -162,12 +212,15 @@
         if classes.is_empty() {
             return Err(faulty("settings.classes", "names no class"));
         }
-        let mut longest = 0.0f64;
-        for at in 0..classes.len() {
-            let class = told.need()?["classes"].get(at);
+        let class = |(at, name): (usize, String)| {
+            let class = told.get("classes").value.and_then(|classes| classes.get(at));
             let class = Node { value: class, path: format!("settings.classes.{at}") };
-            longest = longest.max(class.get("deadline_s").number(LONGEST, 0.001)?);
-        }
+            let deadline_ms = class.get("deadline_s").number(LONGEST, 0.001)? * 1e3 + 1.0;
+            let keyed = class.get("repeat").value.is_some_and(|repeat| repeat == "keyed");
+            Ok(Class { name, deadline_ms, keyed })
+        };
+        let classes = classes.into_iter().enumerate().map(class).collect::<Result<Vec<_>, _>>()?;
+        let longest = classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max) - 1.0;
         let mut pairs = Vec::new();
         flatten(told.need()?, "", &mut pairs);
         let bounds = told.get("limits");
@@ -184,8 +237,9 @@
                 Some(None) => return Err(faulty("log", "is no level: error, warning, info or debug")),
             };
         Ok(Config {
+            path: PathBuf::new(),
             name,
-            log,
+            log: Shown::new(log),
             listen: address("listen", "BALANCER_LISTEN")?,
             journal: root.get("journal").address()?,
             seed,
@@ -197,12 +251,13 @@
             reports: told.get("feedback").get("fields").names(None)?,
             connect_timeout: door::micros(bounds.get("connect_timeout_s").number(CONNECT_TIMEOUT, 0.001)?),
             conn_idle: door::micros(bounds.get("conn_idle_s").number(CONN_IDLE, 0.0)?),
-            longest: door::micros(longest),
+            longest: door::micros(longest / 1e3),
             clients,
             caches: sockets - SPARE - clients,
             lookups: bounds.get("max_open").number(MAX_OPEN, 1.0)? as usize,
             // The rest is for the module's memories, the allocator's slack and what a round moves.
             buffers: (memory * 0.4) as usize,
+            text: json,
         })
     }
 }
--- a/crates/front/src/frame.rs
+++ b/crates/front/src/frame.rs
@@ -7,9 +7,16 @@
 const LENGTH: std::ops::RangeInclusive<usize> = 5..=262_144;
 /// The longest frame with its length field.
 pub const LONGEST: usize = 262_148;
+/// The longest that a client can ask with: the largest body, and fields. What says that it is longer is not
+/// waited for, or half frames of many would fill the memory.
+pub const ASKED: usize = 65_536;
 /// The largest body that a client may bring.
 const BODY: usize = 48_000;
 
+/// The last group, and a part that no object comes near.
+const SETS: u32 = 255;
+const PARTS: u32 = 1 << 20;
+
 pub const ASK: u8 = 65;
 pub const ANSWER: u8 = 66;
 pub const LEAVE: u8 = 67;
@@ -29,6 +36,8 @@
     Truncated,
     Missing(&'static str),
     Unreadable(&'static str),
+    /// What was begun was not ended in time.
+    Unfinished,
 }
 
 impl fmt::Display for Fault {
@@ -38,6 +47,7 @@
             Fault::Truncated => write!(f, "truncated fields"),
             Fault::Missing(name) => write!(f, "field {name} is missing"),
             Fault::Unreadable(name) => write!(f, "field {name} is unreadable"),
+            Fault::Unfinished => write!(f, "no whole frame in time"),
         }
     }
 }
@@ -55,7 +65,7 @@
         return Ok(None);
     };
     let length = u32::from_le_bytes(*length) as usize;
-    if !LENGTH.contains(&length) {
+    if !LENGTH.contains(&length) || length > ASKED - 4 {
         return Err(Fault::Framing(length));
     }
     let Some(frame) = rest.get(..length) else {
@@ -92,6 +102,8 @@
 pub struct Request {
     pub verb: String,
     pub txn: String,
+    /// `txn` as a number.
+    pub id: u64,
     pub limit_ms: f64,
     pub unique: Option<String>,
     pub item: String,
@@ -131,19 +143,25 @@
     if !(limit_ms > 0.0 && limit_ms < 1e9) {
         return Err(Fault::Unreadable("limit"));
     }
-    let (item, object) = hex("item")?;
+    let ((item, object), (txn, id)) = (hex("item")?, hex("txn")?);
+    let set = read("set", get("set").unwrap_or("0"))?;
+    let slice = read("slice", get("slice").unwrap_or("0"))?;
+    if set > SETS || slice > PARTS {
+        return Err(Fault::Unreadable(if set > SETS { "set" } else { "slice" }));
+    }
     if body.len() > BODY {
         return Err(Fault::Unreadable("body"));
     }
     Ok(Request {
         verb: Some(verb).filter(|v| plain(v)).ok_or(Fault::Unreadable("verb"))?.to_string(),
-        txn: hex("txn")?.0,
+        txn,
+        id,
         limit_ms,
         unique: optional("unique")?,
         item,
         object,
-        slice: read("slice", get("slice").unwrap_or("0"))?,
-        set: read("set", get("set").unwrap_or("0"))?,
+        slice,
+        set,
         seen: optional("seen")?,
         size_kb: read("ram", get("ram").unwrap_or("0")).map(|kb: f64| {
             if kb.is_finite() {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -20,7 +20,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Housekeeping: idle and stuck connections, the journal service.
-const TICK: Micros = 500_000;
+const TICK: Micros = 250_000;
 /// How long after the signal to end connections and lookups may still come in (the platform says 0.6 s).
 const LINGER: Micros = 700_000;
 /// How long last answers are left to be read by whoever is slow, before the program ends.
@@ -81,6 +81,8 @@
     machines: Indices<String>,
     addresses: HashMap<PeerIx, SocketAddr>,
     lookups: HashMap<u32, Taken>,
+    /// Lookups that are open by the id that their client gave them.
+    named: HashMap<u64, u32>,
     /// Bytes of bodies that lookups hold for their sends.
     bodies: usize,
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
@@ -118,6 +120,7 @@
             machines: Indices::default(),
             addresses: HashMap::new(),
             lookups: HashMap::new(),
+            named: HashMap::new(),
             bodies: 0,
             timers: BinaryHeap::new(),
             serial: 0,
@@ -149,7 +152,8 @@
         let mut gathered = Vec::new();
         while !self.ended() {
             let next = self.timers.peek().map_or(TICK, |Reverse((at, _))| at - self.clock.now());
-            let pause = if self.events.is_empty() { next.max(0) as u64 } else { 0 };
+            let at_once = !self.events.is_empty() || self.clients.waits();
+            let pause = if at_once { 0 } else { next.max(0) as u64 };
             events.dispatch(Some(Duration::from_micros(pause)), &mut gathered).map_err(io::Error::other)?;
             let now = self.clock.now();
             self.gather(&mut gathered, now);
@@ -179,6 +183,7 @@
             gathered
                 .extend(std::mem::take(&mut self.held_back).into_iter().map(|key| (key, Readiness::EMPTY)));
         }
+        gathered.extend(self.clients.more().into_iter().map(|n| (Key::Client(n), Readiness::EMPTY)));
         gathered.sort_by_key(|(key, _)| *key);
         for (key, ready) in gathered.drain(..) {
             if let Err(panic) = contained(|| self.ready(key, ready, now)) {
@@ -187,14 +192,14 @@
                     Key::Client(number) => self.clients.drop(number, &self.poll),
                     Key::Cache(number) => self.caches.panicked(number, &self.poll),
                     Key::Journal(_) => self.journal.lose("panic", &self.poll, &mut Vec::new()),
-                    Key::Door | Key::Signal => {}
+                    Key::Door | Key::Reload | Key::Signal => {}
                 }
             }
         }
         let rest = contained(|| {
             self.ends(now);
             self.ring(now);
-            self.admit();
+            self.admit(now);
             self.hear(now);
         });
         if let Err(panic) = rest {
@@ -211,6 +216,7 @@
                 self.timers.push(Reverse((now + LINGER, Timer::Part)));
             }
             Key::Signal => {}
+            Key::Reload => self.reload(now),
             Key::Journal(_) => {
                 let mut news = Vec::new();
                 self.journal.handle(key, ready, now, &mut self.poll, &mut news);
@@ -234,6 +240,24 @@
         }
     }
 
+    /// A new configuration: what can be changed under way takes effect at once, all or nothing.
+    fn reload(&mut self, now: Micros) {
+        let fresh = match self.config.again() {
+            Ok(fresh) => fresh,
+            Err(faulty) => {
+                return error!(self.log, "configuration refused, the former goes on"; "key" => &faulty.key,
+                    "what" => &faulty.what);
+            }
+        };
+        for key in self.config.renew(fresh) {
+            warn!(self.log, "takes effect at the next start only"; "key" => key);
+        }
+        info!(self.log, "configuration read again"; "journal" => %self.config.journal);
+        let mut news = Vec::new();
+        self.journal.move_to(self.config.journal, now, &mut self.poll, &mut news);
+        news.into_iter().for_each(|news| self.told(news, now));
+    }
+
     fn told(&mut self, news: News, now: Micros) {
         match news {
             Err(what) => warn!(self.log, "journal"; "what" => what),
@@ -337,6 +361,9 @@
         let done = |t: &&Taken| !t.owed && t.sends.iter().all(Option::is_none);
         if let Some(taken) = self.lookups.get(&lookup).filter(done) {
             self.bodies -= taken.request.body.len();
+            if self.named.get(&taken.request.id) == Some(&lookup) {
+                self.named.remove(&taken.request.id);
+            }
             self.lookups.remove(&lookup);
         }
     }
@@ -362,7 +389,7 @@
     fn tick(&mut self, now: Micros) {
         self.knocking = true;
         self.caches.sweep(now, &self.poll);
-        self.clients.sweep(now, &self.poll);
+        self.clients.sweep(now, &mut self.poll);
         let mut news = Vec::new();
         self.journal.keep_up(now, &mut self.poll, &mut news);
         news.into_iter().for_each(|news| self.told(news, now));
@@ -371,19 +398,19 @@
 
     fn part(&mut self, now: Micros) {
         // Whoever got as far as the kernel has been accepted by it; take them in before the door closes.
-        self.admit();
+        self.admit(now);
         if let Some((_, token)) = self.listener.take() {
             self.poll.unwatch(token);
             self.clients.part(now, &self.poll);
         }
     }
 
-    fn admit(&mut self) {
-        while self.knocking && !self.clients.full() {
+    fn admit(&mut self, now: Micros) {
+        while self.knocking && self.clients.room(now, &mut self.poll) {
             let Some((listener, _)) = &self.listener else { return };
             match listener.accept() {
                 Ok((stream, _)) => {
-                    if let Err(e) = self.clients.accept(stream, &mut self.poll) {
+                    if let Err(e) = self.clients.accept(stream, now, &mut self.poll) {
                         warn!(self.log, "client not taken in"; "error" => %e);
                     }
                 }
@@ -420,25 +447,52 @@
 
     fn take(&mut self, lookup: u32, client: u64, stream: u32, request: frame::Request, now: Micros) {
         let expires = now + (request.limit_ms * 1e3) as Micros;
-        let kind = self.config.classes.iter().position(|class| *class == request.verb);
         let held = self.poll.tally.bytes() + self.bodies + request.body.len();
         let full = held > self.config.buffers || self.lookups.len() >= self.config.lookups;
+        let usable = self.usable(&request);
         self.bodies += request.body.len();
         let (object, part, group, size_kb) = (request.object, request.slice, request.set, request.size_kb);
+        if usable.is_ok() {
+            self.named.insert(request.id, lookup);
+        }
         let taken = Taken { client, stream, request, expires, owed: true, sends: Vec::new() };
         self.lookups.insert(lookup, taken);
-        match kind {
-            // A class that the settings do not name is a field that cannot be used.
-            None => self.answer(lookup, (frame::FAILED, &[], &[]), now),
+        match usable {
+            Err(what) => {
+                debug!(self.log, "lookup unusable"; "client" => client, "why" => what);
+                self.answer(lookup, (frame::FAILED, &[], &[]), now);
+                self.clients.blame(client, now, &self.poll);
+            }
             // No send was made, so to try again is harmless whatever the class.
-            Some(_) if full => self.answer(lookup, (frame::NACKED, &[], &[]), now),
-            Some(kind) => {
+            Ok(_) if full => self.answer(lookup, (frame::NACKED, &[], &[]), now),
+            Ok(kind) => {
                 let asked = Lookup { id: lookup, object, part, size_kb, group, kind, expires };
                 self.events.push(Event::Asked(asked));
             }
         }
     }
 
+    /// Whether a lookup is one that the settings allow, and of which class. Caches answer others with an error,
+    /// which would be held against them, and what is far out of range would stay in the module's memories.
+    fn usable(&self, request: &frame::Request) -> Result<usize, &'static str> {
+        let kind = self.config.classes.iter().position(|class| class.name == request.verb);
+        let kind = kind.ok_or("class")?;
+        let class = &self.config.classes[kind];
+        if request.limit_ms > class.deadline_ms {
+            return Err("limit");
+        }
+        if class.keyed && request.unique.is_none() {
+            return Err("unique");
+        }
+        let open = self.named.get(&request.id).and_then(|lookup| self.lookups.get(lookup));
+        match open.filter(|taken| taken.owed).map(|taken| &taken.request) {
+            Some(r) if (r.object, r.slice, &r.verb) != (request.object, request.slice, &request.verb) => {
+                Err("txn")
+            }
+            _ => Ok(kind),
+        }
+    }
+
     /// One batch to the module, then what it wants done.
     fn hand_over(&mut self, now: Micros, mut actions: Vec<Action>) {
         let module = &mut self.module;
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -10,7 +10,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Readiness};
 use config::Config;
-use slog::{crit, error, info, o, Drain, LevelFilter, Logger};
+use slog::{crit, error, info, o, Drain, Filter, Logger};
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -31,16 +31,19 @@
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
     // A log that cannot be written is no reason to end.
-    let drain = LevelFilter::new(drain, config.log).ignore_res();
+    let level = config.log.clone();
+    let drain = Filter::new(drain, move |line| level.shows(line.level())).ignore_res();
     (Logger::root(drain, o!("front" => config.name.clone())), guard)
 }
 
 fn serve(config: Config) -> Result<(), String> {
     let mut poll = EventLoop::try_new().map_err(|e| format!("poller: {e}"))?;
     // Before the log's thread starts, so that it leaves these signals to the loop as well.
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("signals: {e}"))?;
-    let told = |_, _: &mut (), gathered: &mut net::Gathered| {
-        gathered.push((net::Key::Signal, Readiness::EMPTY));
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
+        .map_err(|e| format!("signals: {e}"))?;
+    let told = |event: calloop::signals::Event, _: &mut (), gathered: &mut net::Gathered| {
+        let reload = event.signal() == Signal::SIGHUP;
+        gathered.push((if reload { net::Key::Reload } else { net::Key::Signal }, Readiness::EMPTY));
     };
     poll.handle().insert_source(signals, told).map_err(|e| format!("signals: {e}"))?;
     let (log, guard) = log(&config);
@@ -74,9 +77,7 @@
     let env = |name: &str| std::env::var(name).ok();
     let config = match env("BALANCER_CONFIG") {
         None => Err("BALANCER_CONFIG: is not set".to_string()),
-        Some(path) => std::fs::read_to_string(&path)
-            .map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))
-            .and_then(|text| Config::read(&text, env).map_err(|faulty| faulty.to_string())),
+        Some(path) => Config::load(path.into(), env).map_err(|faulty| faulty.to_string()),
     };
     match config.and_then(serve) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -4,13 +4,26 @@
 use crate::frame::{self, Frame, Request};
 use calloop::Readiness;
 use meadowrill_core::interface::Micros;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::TcpStream;
 
 /// Lookups that a connection may have open, and so what its ring may have to hold.
 const OPEN: usize = 32;
-const MOST: (usize, usize) = (frame::LONGEST, (OPEN + 1) * frame::LONGEST);
+const MOST: (usize, usize) = (frame::ASKED, (OPEN + 1) * frame::LONGEST);
+/// Frames of one connection that are dealt with in a round: whoever floods waits for the others.
+const TURN: usize = 64;
+/// Faulty frames after which a connection is done with.
+const FAULTS: u32 = 16;
+/// How long a connection may be silent before its first whole frame or within one, and how long it is kept
+/// with nothing open on it. Clients close theirs earlier; some never do.
+const UNFINISHED: Micros = 2_000_000;
+const IDLE: Micros = 6_000_000;
+/// How long what still comes behind a fault is read and dropped: a close with bytes unread is a reset, in which
+/// the answer before it may be lost.
+const DRAIN: Micros = 1_000_000;
+/// What is younger is not let go for want of room: its first bytes may still be on their way.
+const YOUNG: Micros = 100_000;
 
 pub enum Heard {
     Asked {
@@ -34,8 +47,18 @@
     link: Link,
     last_stream: u32,
     open: BTreeMap<u32, u32>,
-    /// Nothing more is read: the peer has ended its side, or no frame can be found any more.
+    /// Nothing more is heard: the peer has ended its side, or no frame can be found any more.
     deaf: bool,
+    ended: bool,
+    /// Its own side is shut, and what still comes is dropped until then.
+    drains: Option<Micros>,
+    /// A whole frame has come.
+    spoke: bool,
+    /// Since when a frame, or the first, is not whole.
+    unfinished: Option<Micros>,
+    /// When something was last asked or answered.
+    used_at: Micros,
+    faults: u32,
     /// Since when what is written is not taken, and how much was by then.
     stuck: Option<(Micros, u64)>,
 }
@@ -44,18 +67,54 @@
     fn put(&mut self, head: &[u8], body: &[u8]) -> io::Result<()> {
         let full = |_| io::Error::from(io::ErrorKind::OutOfMemory);
         self.link.outbound.put(head).map_err(full)?;
-        self.link.outbound.put(body).map_err(full)?;
-        self.link.flush()
+        self.link.outbound.put(body).map_err(full)
     }
 
     fn reply(&mut self, stream: u32, code: u8) -> io::Result<()> {
         self.put(&frame::head(frame::ANSWER, stream, Some(code), Some(&[]), 0), &[])
     }
+
+    fn no_more(&mut self) -> io::Result<()> {
+        self.put(&frame::head(frame::NO_MORE, 0, None, None, 0), &[])
+    }
+
+    /// Tells a fault, and hears nothing more: what it would still ask it is to ask elsewhere.
+    fn deafen(&mut self) -> io::Result<()> {
+        self.deaf = true;
+        self.unfinished = None;
+        self.link.inbound.clear();
+        self.reply(0, frame::FAILED)?;
+        self.no_more()
+    }
+
+    fn blame(&mut self) -> io::Result<()> {
+        self.faults += 1;
+        if self.faults < FAULTS || self.deaf {
+            return Ok(());
+        }
+        self.deafen()
+    }
+
+    fn idle(&self) -> bool {
+        self.open.is_empty() && self.link.outbound.is_empty()
+    }
+
+    /// How little is lost with it: the least first. None for what has something open, or may be about to.
+    fn use_of(&self, now: Micros) -> Option<(u8, Micros)> {
+        let old = |since: Micros| since + YOUNG <= now;
+        match (self.drains, self.unfinished) {
+            _ if !self.idle() => None,
+            (Some(at), _) => Some((0, at)),
+            (_, Some(since)) => old(since).then_some((u8::from(self.spoke), since)),
+            _ => old(self.used_at).then_some((2, self.used_at)),
+        }
+    }
 }
 
 pub struct Clients {
-    conns: HashMap<u64, Client>,
-    stuck: BTreeSet<(Micros, u64)>,
+    conns: BTreeMap<u64, Client>,
+    /// Those with more to read than a round takes.
+    more: BTreeSet<u64>,
     most: usize,
     patience: Micros,
     lookups: u32,
@@ -67,8 +126,8 @@
 
 impl Clients {
     pub fn new(most: usize, patience: Micros) -> Clients {
-        let (conns, stuck, heard) = (HashMap::new(), BTreeSet::new(), Vec::new());
-        Clients { conns, stuck, most, patience, lookups: 0, ready: true, parting: false, heard }
+        let (conns, more, heard) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        Clients { conns, more, most, patience, lookups: 0, ready: true, parting: false, heard }
     }
 
     /// What was heard since the last call.
@@ -76,18 +135,62 @@
         std::mem::take(&mut self.heard)
     }
 
-    pub fn full(&self) -> bool {
-        self.conns.len() >= self.most
+    /// Those that are to be dealt with again although nothing new came.
+    pub fn more(&mut self) -> BTreeSet<u64> {
+        std::mem::take(&mut self.more)
+    }
+
+    pub fn waits(&self) -> bool {
+        !self.more.is_empty()
+    }
+
+    /// Whether another connection may be taken in. At the ceiling the one of least use is let go, lest those who
+    /// say nothing, or have asked once and hold on, keep everybody else out.
+    pub fn room(&mut self, now: Micros, poll: &mut Poll) -> bool {
+        while self.conns.len() >= self.most {
+            let of = |(number, c): (&u64, &Client)| c.use_of(now).map(|least| (least, *number));
+            let Some((_, number)) = self.conns.iter().filter_map(of).min() else { return false };
+            self.let_go(number, now, poll);
+        }
+        true
+    }
+
+    /// Closes a connection with nothing open, unless something has come on it that was not read yet.
+    fn let_go(&mut self, number: u64, now: Micros, poll: &mut Poll) {
+        let Some(client) = self.conns.get_mut(&number) else { return };
+        let before = client.link.inbound.len();
+        client.link.readable = true;
+        if !client.deaf && poll.fill(&mut client.link).is_ok() && client.link.inbound.len() > before {
+            client.used_at = now;
+            client.unfinished = client.unfinished.map(|_| now);
+            self.more.insert(number);
+            return;
+        }
+        // Whether it takes the word or not, this is its end.
+        let _ = client.no_more().and_then(|()| client.link.flush());
+        self.drop(number, poll);
     }
 
     pub fn is_empty(&self) -> bool {
         self.conns.is_empty()
     }
 
-    pub fn accept(&mut self, stream: TcpStream, poll: &mut Poll) -> io::Result<()> {
+    pub fn accept(&mut self, stream: TcpStream, now: Micros, poll: &mut Poll) -> io::Result<()> {
         let number = poll.key();
         let link = poll.link(stream, Key::Client(number), MOST)?;
-        let client = Client { link, last_stream: 0, open: BTreeMap::new(), deaf: false, stuck: None };
+        let client = Client {
+            link,
+            last_stream: 0,
+            open: BTreeMap::new(),
+            deaf: false,
+            ended: false,
+            drains: None,
+            spoke: false,
+            unfinished: Some(now),
+            used_at: now,
+            faults: 0,
+            stuck: None,
+        };
         self.conns.insert(number, client);
         Ok(())
     }
@@ -96,71 +199,83 @@
         let Some(client) = self.conns.get_mut(&number) else { return };
         client.link.heard(ready);
         let (lookups, heard) = (&mut self.lookups, &mut self.heard);
-        let done = Clients::read(client, number, self.ready, lookups, heard, poll);
-        let done = done.and_then(|()| client.link.flush());
-        self.settle(number, done, now, poll);
+        let done = Clients::read(client, number, self.ready, lookups, heard, now, poll);
+        if matches!(done, Ok(true)) {
+            self.more.insert(number);
+        }
+        self.settle(number, done.map(|_| ()), now, poll);
     }
 
+    /// Takes one turn at what has come; true where there is more.
     fn read(
         client: &mut Client,
         number: u64,
         ready: bool,
         lookups: &mut u32,
         heard: &mut Vec<Heard>,
+        now: Micros,
         poll: &mut Poll,
-    ) -> io::Result<()> {
-        while !client.deaf {
-            client.deaf = poll.fill(&mut client.link)?;
-            while let Some(read) = frame::next(client.link.inbound.whole()).transpose() {
-                let Frame { kind, stream, payload } = match read {
-                    Ok(frame) => frame,
-                    Err(fault) => {
-                        heard.push(Heard::Bad { client: number, fault });
-                        client.deaf = true;
-                        client.reply(0, frame::FAILED)?;
-                        // What it would still ask could not be found: it is to ask elsewhere.
-                        client.put(&frame::head(frame::NO_MORE, 0, None, None, 0), &[])?;
-                        break;
-                    }
-                };
-                let size = frame::HEAD + payload.len();
-                let new = stream > client.last_stream;
-                let bad = match kind {
-                    frame::ASK if new && client.open.len() < OPEN => match frame::request(payload) {
-                        Ok(request) => {
-                            *lookups = lookups.wrapping_add(1).max(1);
-                            client.open.insert(stream, *lookups);
-                            heard.push(Heard::Asked { lookup: *lookups, client: number, stream, request });
-                            None
-                        }
-                        Err(fault) => Some(fault),
-                    },
-                    frame::ASK => Some(frame::Fault::Unreadable("stream")),
-                    frame::LEAVE => {
-                        heard.extend(client.open.remove(&stream).map(|lookup| Heard::Left { lookup }));
-                        None
-                    }
-                    frame::READY => {
-                        let code = u8::from(!ready);
-                        client.put(&frame::head(frame::IS_READY, stream, Some(code), Some(&[]), 0), &[])?;
+    ) -> io::Result<bool> {
+        if client.deaf {
+            client.ended |= poll.discard(&mut client.link)?;
+            return Ok(client.link.readable && !client.ended);
+        }
+        client.ended |= poll.fill(&mut client.link)?;
+        for _ in 0..TURN {
+            let read = match frame::next(client.link.inbound.whole()) {
+                Ok(None) => {
+                    let part = !client.spoke || !client.link.inbound.is_empty();
+                    client.unfinished = if part { client.unfinished.or(Some(now)) } else { None };
+                    client.deaf = client.ended;
+                    return Ok(client.link.readable && !client.ended);
+                }
+                Ok(Some(frame)) => frame,
+                Err(fault) => {
+                    heard.push(Heard::Bad { client: number, fault });
+                    client.deafen()?;
+                    return Ok(client.link.readable);
+                }
+            };
+            let Frame { kind, stream, payload } = read;
+            let size = frame::HEAD + payload.len();
+            let new = stream > client.last_stream;
+            let bad = match kind {
+                frame::ASK if new && client.open.len() < OPEN => match frame::request(payload) {
+                    Ok(request) => {
+                        *lookups = lookups.wrapping_add(1).max(1);
+                        client.open.insert(stream, *lookups);
+                        heard.push(Heard::Asked { lookup: *lookups, client: number, stream, request });
                         None
                     }
-                    _ => Some(frame::Fault::Unreadable("type")),
-                };
-                let asked = kind == frame::ASK;
-                client.last_stream = if asked { client.last_stream.max(stream) } else { client.last_stream };
-                if let Some(fault) = bad {
-                    heard.push(Heard::Bad { client: number, fault });
-                    // A stream that had or will have its answer gets no other.
-                    client.reply(if asked && new { stream } else { 0 }, frame::FAILED)?;
+                    Err(fault) => Some(fault),
+                },
+                frame::ASK => Some(frame::Fault::Unreadable("stream")),
+                frame::LEAVE => {
+                    heard.extend(client.open.remove(&stream).map(|lookup| Heard::Left { lookup }));
+                    None
+                }
+                frame::READY => {
+                    let code = u8::from(!ready);
+                    client.put(&frame::head(frame::IS_READY, stream, Some(code), Some(&[]), 0), &[])?;
+                    None
+                }
+                _ => Some(frame::Fault::Unreadable("type")),
+            };
+            client.link.inbound.drop_front(size);
+            (client.spoke, client.unfinished, client.used_at) = (true, None, now);
+            let asked = kind == frame::ASK;
+            client.last_stream = if asked { client.last_stream.max(stream) } else { client.last_stream };
+            if let Some(fault) = bad {
+                heard.push(Heard::Bad { client: number, fault });
+                // A stream that had or will have its answer gets no other.
+                client.reply(if asked && new { stream } else { 0 }, frame::FAILED)?;
+                client.blame()?;
+                if client.deaf {
+                    return Ok(client.link.readable);
                 }
-                client.link.inbound.drop_front(size);
-            }
-            if !client.link.readable {
-                break;
             }
         }
-        Ok(())
+        Ok(true)
     }
 
     /// The one answer of a lookup, if one is still owed.
@@ -176,53 +291,68 @@
             return;
         }
         client.open.remove(&stream);
+        client.used_at = now;
         let done =
             client.put(&frame::head(frame::ANSWER, stream, Some(code), Some(fields), body.len()), body);
         self.settle(number, done, now, poll);
     }
 
+    /// Counts a lookup that could not be used against its connection.
+    pub fn blame(&mut self, number: u64, now: Micros, poll: &Poll) {
+        let Some(client) = self.conns.get_mut(&number) else { return };
+        let done = client.blame();
+        self.settle(number, done, now, poll);
+    }
+
     /// After each step with a connection: ends it if it failed or is done, and notes whether it is stuck.
     fn settle(&mut self, number: u64, done: io::Result<()>, now: Micros, poll: &Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
-        let over = (client.deaf || self.parting) && client.open.is_empty() && client.link.outbound.is_empty();
-        if done.is_err() || over {
+        let done = done.and_then(|()| client.link.flush());
+        let over = (client.deaf || self.parting) && client.idle();
+        if done.is_err() || (over && (client.ended || !client.deaf)) {
             return self.drop(number, poll);
         }
-        match client.stuck {
-            None if !client.link.outbound.is_empty() => {
-                client.stuck = Some((now, client.link.written));
-                self.stuck.insert((now, number));
-            }
-            Some((since, _)) if client.link.outbound.is_empty() => {
-                client.stuck = None;
-                self.stuck.remove(&(since, number));
-            }
-            _ => {}
+        if over && client.drains.is_none() {
+            client.drains = Some(now + DRAIN);
+            client.link.shut();
         }
+        client.stuck = match client.stuck {
+            _ if client.link.outbound.is_empty() => None,
+            None => Some((now, client.link.written)),
+            stuck => stuck,
+        };
     }
 
     /// Ends a connection; what it still had open has left.
     pub fn drop(&mut self, number: u64, poll: &Poll) {
         let Some(client) = self.conns.remove(&number) else { return };
-        if let Some((since, _)) = client.stuck {
-            self.stuck.remove(&(since, number));
-        }
         self.heard.extend(client.open.into_values().map(|lookup| Heard::Left { lookup }));
         client.link.close(poll);
     }
 
     /// Ends connections that take nothing of what is written for longer than any client waits: whoever reads
-    /// so slowly has lost its answers, and what they fill is wanted by others.
-    pub fn sweep(&mut self, now: Micros, poll: &Poll) {
-        while let Some(&(since, number)) = self.stuck.first().filter(|s| s.0 + self.patience <= now) {
-            self.stuck.remove(&(since, number));
+    /// so slowly has lost its answers, and what they fill is wanted by others. Ends too what does not come to the
+    /// end of a frame, and what nothing has been asked on for long.
+    pub fn sweep(&mut self, now: Micros, poll: &mut Poll) {
+        let numbers: Vec<u64> = self.conns.keys().copied().collect();
+        for number in numbers {
             let Some(client) = self.conns.get_mut(&number) else { continue };
-            let written = client.link.written;
-            if client.stuck.is_some_and(|(_, before)| before == written) {
+            if client.drains.is_some_and(|until| until <= now) {
                 self.drop(number, poll);
-            } else {
+            } else if let Some((_, before)) = client.stuck.filter(|s| s.0 + self.patience <= now) {
+                let written = client.link.written;
                 client.stuck = Some((now, written));
-                self.stuck.insert((now, number));
+                if before == written {
+                    self.drop(number, poll);
+                }
+            } else if client.deaf {
+                continue;
+            } else if client.unfinished.is_some_and(|since| since + UNFINISHED <= now) {
+                self.heard.push(Heard::Bad { client: number, fault: frame::Fault::Unfinished });
+                let done = client.deafen();
+                self.settle(number, done, now, poll);
+            } else if client.idle() && client.used_at + IDLE <= now {
+                self.let_go(number, now, poll);
             }
         }
     }
@@ -230,11 +360,10 @@
     /// Asks for no new lookups, and ends what has none open; the others end with their last answer.
     pub fn part(&mut self, now: Micros, poll: &Poll) {
         self.parting = true;
-        let mut numbers: Vec<u64> = self.conns.keys().copied().collect();
-        numbers.sort_unstable();
+        let numbers: Vec<u64> = self.conns.keys().copied().collect();
         for number in numbers {
             let Some(client) = self.conns.get_mut(&number) else { continue };
-            let done = client.put(&frame::head(frame::NO_MORE, 0, None, None, 0), &[]);
+            let done = if client.deaf { Ok(()) } else { client.no_more() };
             self.settle(number, done, now, poll);
         }
     }
--- a/crates/front/src/net/journal.rs
+++ b/crates/front/src/net/journal.rs
@@ -9,10 +9,13 @@
 
 /// The longest line: a list of some thousands of machines.
 const LINE: usize = 1 << 20;
-/// The service sends a line each second; without any for so long the connection is held to be lost. And the
-/// pause before another is tried.
-const SILENCE: Micros = 4_000_000;
-const PAUSE: Micros = 500_000;
+/// The service sends a line each second; without any for so long the connection is held to be lost. And how
+/// long one may take to come up, and the pause before another is tried.
+const SILENCE: Micros = 2_200_000;
+const COMING: Micros = 600_000;
+const PAUSE: Micros = 250_000;
+/// How often what lies behind the same event is asked for again, before what cannot be read is passed over.
+const AGAIN: u32 = 3;
 
 /// A machine of the list.
 #[derive(Clone, Debug, PartialEq)]
@@ -105,6 +108,10 @@
     address: SocketAddr,
     link: Option<(Key, Link)>,
     last: u64,
+    /// How often in a row something behind the last event was missing.
+    missing: u32,
+    /// The connection is up.
+    up: bool,
     heard_at: Micros,
     tried_at: Micros,
     /// An outage is told once, not at every try.
@@ -113,18 +120,30 @@
 
 impl Journal {
     pub fn new(address: SocketAddr, last: u64) -> Journal {
-        Journal { address, link: None, last, heard_at: 0, tried_at: Micros::MIN / 2, out: false }
+        let tried_at = Micros::MIN / 2;
+        Journal { address, link: None, last, missing: 0, up: false, heard_at: 0, tried_at, out: false }
+    }
+
+    /// Goes on at another address, from the last event had.
+    pub fn move_to(&mut self, address: SocketAddr, now: Micros, poll: &mut Poll, news: &mut Vec<News>) {
+        if address != self.address {
+            self.address = address;
+            self.lose("moved", poll, news);
+            self.tried_at = Micros::MIN / 2;
+            self.keep_up(now, poll, news);
+        }
     }
 
     /// Connects where there is no connection, and drops one that is silent. To be called now and then.
     pub fn keep_up(&mut self, now: Micros, poll: &mut Poll, news: &mut Vec<News>) {
-        if self.link.is_some() && now >= self.heard_at + SILENCE {
+        let patience = if self.up { SILENCE } else { COMING };
+        if self.link.is_some() && now >= self.heard_at + patience {
             self.lose("silent", poll, news);
         }
         if self.link.is_some() || now < self.tried_at + PAUSE {
             return;
         }
-        (self.tried_at, self.heard_at) = (now, now);
+        (self.tried_at, self.heard_at, self.up) = (now, now, false);
         let key = Key::Journal(poll.key());
         match poll.connect(self.address, key, (LINE, 64)) {
             Ok(mut link) => {
@@ -146,11 +165,15 @@
     }
 
     pub fn handle(&mut self, key: Key, ready: Readiness, now: Micros, poll: &mut Poll, news: &mut Vec<News>) {
-        let Some((_, link)) = self.link.as_mut().filter(|(k, _)| *k == key) else { return };
+        let Some((_, mut link)) = self.link.take_if(|(k, _)| *k == key) else { return };
         link.heard(ready);
-        let alive = Journal::read(link, &mut self.last, &mut self.heard_at, now, poll, news);
+        let alive = self.read(&mut link, now, poll, news);
+        self.link = Some((key, link));
         match alive {
-            Err(e) => self.lose(&e.to_string(), poll, news),
+            Err(e) => {
+                self.lose(&e.to_string(), poll, news);
+                self.keep_up(now, poll, news);
+            }
             Ok(()) if self.out && self.heard_at > self.tried_at => {
                 self.out = false;
                 news.push(Err("in touch again".into()));
@@ -160,9 +183,8 @@
     }
 
     fn read(
+        &mut self,
         link: &mut Link,
-        last: &mut u64,
-        heard_at: &mut Micros,
         now: Micros,
         poll: &mut Poll,
         news: &mut Vec<News>,
@@ -170,25 +192,22 @@
         if !link.arrived()? {
             return Ok(());
         }
+        if !std::mem::replace(&mut self.up, true) {
+            self.heard_at = now;
+        }
         link.flush()?;
         loop {
             let ended = poll.fill(link)?;
             while let Some(end) = link.inbound.whole().iter().position(|b| *b == b'\n') {
-                *heard_at = now;
                 let text = &link.inbound.whole()[..end];
-                if !text.trim_ascii().is_empty() {
-                    let line = serde_json::from_slice(text).map_err(|e| e.to_string());
-                    match line.and_then(|value| entry(&value)) {
-                        // Had before; told again it would put a list back.
-                        Ok(line) if line.pos.is_some_and(|pos| pos <= *last) => {}
-                        Ok(line) => {
-                            *last = line.pos.unwrap_or(*last);
-                            news.extend(line.change.map(Ok));
-                        }
-                        Err(what) => news.push(Err(format!("line passed over: {what}"))),
-                    }
-                }
+                let line = (!text.trim_ascii().is_empty())
+                    .then(|| serde_json::from_slice(text).map_err(|e| e.to_string()))
+                    .map(|line| line.and_then(|value| entry(&value)));
                 link.inbound.drop_front(end + 1);
+                self.heard_at = now;
+                if let Some(line) = line {
+                    self.line(line, news)?;
+                }
             }
             if ended {
                 return Err(io::ErrorKind::UnexpectedEof.into());
@@ -201,6 +220,31 @@
             }
         }
     }
+
+    /// Events are numbered without gaps, so a number that is not the next one tells that something was missed
+    /// or could not be read: it is asked for again. Moving on would skip a purge for good. Only what stays
+    /// unreadable is passed over in the end, lest nothing behind it is ever had.
+    fn line(&mut self, line: Result<Line, String>, news: &mut Vec<News>) -> io::Result<()> {
+        let Line { pos, change } = match line {
+            Ok(line) => line,
+            Err(what) => {
+                news.push(Err(format!("unreadable: {what}")));
+                return Ok(());
+            }
+        };
+        let missed = pos.is_some_and(|pos| pos > self.last + u64::from(change.is_some()));
+        if missed && self.missing < AGAIN {
+            self.missing += 1;
+            return Err(io::Error::other(format!("something behind {} is missing", self.last)));
+        }
+        // Had before; told again it would put a list back.
+        if pos.is_none_or(|pos| pos > self.last) {
+            self.last = pos.unwrap_or(self.last);
+            self.missing = 0;
+            news.extend(change.map(Ok));
+        }
+        Ok(())
+    }
 }
 
 #[cfg(test)]
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -12,7 +12,7 @@
 use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
 use std::fmt;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::AsFd;
 use std::rc::Rc;
 
@@ -26,6 +26,7 @@
     Cache(u64),
     Client(u64),
     Door,
+    Reload,
     Signal,
 }
 
@@ -107,6 +108,19 @@
     }
 }
 
+impl Poll {
+    /// Reads one piece of what has come and drops it; true once the peer has ended its side.
+    pub fn discard(&mut self, link: &mut Link) -> io::Result<bool> {
+        match (&*link.stream).read(&mut self.scratch) {
+            Ok(n) => return Ok(n == 0),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => link.readable = false,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+        Ok(false)
+    }
+}
+
 /// A connection: who owns it is told by where it is kept.
 pub struct Link {
     stream: Rc<TcpStream>,
@@ -154,6 +168,12 @@
         }
     }
 
+    /// Ends this side: the peer sees the end behind all that was written.
+    pub fn shut(&self) {
+        // What is no longer connected needs no end.
+        let _ = self.stream.shutdown(Shutdown::Write);
+    }
+
     pub fn close(self, poll: &Poll) {
         poll.unwatch(self.token);
     }
--- a/crates/front/src/ring.rs
+++ b/crates/front/src/ring.rs
@@ -80,6 +80,10 @@
         self.count();
     }
 
+    pub fn clear(&mut self) {
+        self.drop_front(self.bytes.len());
+    }
+
     fn count(&mut self) {
         let now = self.bytes.capacity();
         self.tally.0.set(self.tally.0.get() + now - self.counted);
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -174,7 +174,7 @@
     child: Child,
     address: SocketAddr,
     log: Option<BufReader<ChildStderr>>,
-    _config: tempfile::TempPath,
+    config: tempfile::TempPath,
 }
 
 impl Program {
@@ -206,7 +206,7 @@
         }
         let at = line.split("at: ").nth(1).and_then(|rest| rest.split(',').next()).unwrap();
         let address = at.parse().unwrap();
-        Program { child, address, log: Some(log), _config: path }
+        Program { child, address, log: Some(log), config: path }
     }
 
     /// With one cache and a journal service that says nothing more.
@@ -215,11 +215,23 @@
         (Program::start(&config(&[("s-a", cache.address)], journal.address)), journal)
     }
 
-    fn terminate(&self) {
-        let status = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(status.success());
     }
 
+    fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// A new configuration: written beside, then put in place, as platforms do.
+    fn reload(&self, text: &str) {
+        let beside = self.config.with_extension("new");
+        std::fs::write(&beside, text).unwrap();
+        std::fs::rename(&beside, &self.config).unwrap();
+        self.signal("-HUP");
+    }
+
     fn alive(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
@@ -277,7 +289,7 @@
 fn ask(stream: u32, verb: &str, more: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
     let txn = format!("{stream:016x}");
     let usual =
-        [("verb", verb), ("txn", &txn), ("limit", "60000"), ("item", OBJECT), ("slice", "3"), ("set", "17")];
+        [("verb", verb), ("txn", &txn), ("limit", "3000"), ("item", OBJECT), ("slice", "3"), ("set", "17")];
     let told = |name| more.iter().any(|f| f.0 == name);
     let all: Vec<_> = more.iter().copied().chain(usual.into_iter().filter(|f| !told(f.0))).collect();
     frame(65, stream, &[fields(&all), body.to_vec()].concat())
@@ -710,7 +722,7 @@
     let program = Program::start(&config);
     let mut client = Client::slow(&program);
     for stream in 1..=32 {
-        client.write(&ask(stream, "map", &[], b""));
+        client.write(&ask(stream, "map", &[("limit", "200")], b""));
         cache.request();
     }
     let start = now_ms();
@@ -718,7 +730,9 @@
         assert!(now_ms() - start < HANG.as_millis(), "still connected");
         thread::sleep(Duration::from_millis(20));
     }
-    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+    let mut other = Client::new(&program);
+    other.write(&ask(1, "map", &[("limit", "200")], b""));
+    assert_eq!(other.answer().code(), 0);
 }
 
 #[test]
@@ -776,3 +790,120 @@
     assert!(!output.status.success());
     assert!(text.contains("limits.sockets: ") && !text.contains("listening"), "{text}");
 }
+
+#[test]
+fn a_signal_to_reload_moves_the_journal_and_keeps_all_else() {
+    let cache = Cache::start(Does::Nothing);
+    let (first, second) = (Journal::start(), Journal::start());
+    let mut config = config(&[("s-a", cache.address)], first.address);
+    let mut program = Program::start(&config);
+    let (_, mut service) = first.greeting();
+    let purge = json!({"pos": 2, "expire": {"set": 3, "stamp": 1}});
+    service.write_all(format!("{purge}\n").as_bytes()).unwrap();
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[], b""));
+    let (number, ..) = cache.request();
+    // A faulty one changes nothing, however often it is told.
+    for _ in 0..3 {
+        program.reload("{\"journal\": \"nowhere\"");
+    }
+    config["journal"] = json!(second.address.to_string());
+    config["limits"]["sockets"] = json!(70);
+    program.reload(&config.to_string());
+    // The numbers carry on, and what was open stays so.
+    assert_eq!(second.greeting().0, "tail 2\n");
+    cache.does(ok(b"fine"));
+    assert_eq!(client.lookup(2, "map").code(), 0);
+    client.write(&frame(67, 1, &[]));
+    cache.end(number);
+    program.terminate();
+    program.signal("-HUP");
+    while client.ready() == 0 {}
+    program.signal("-HUP");
+    assert!(program.child.wait().unwrap().success());
+}
+
+#[test]
+fn what_the_journal_left_out_or_garbled_is_asked_for_again() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, journal) = Program::simple(&cache);
+    let purge = |pos: u64| json!({"pos": pos, "expire": {"set": 1, "stamp": 1}});
+    // A number that runs ahead of the events had; an event behind one that could not be read; one cut within.
+    let broken = ["2\n".to_string(), format!("{{bad\n{}\n", purge(3)), "{\"pos\":2,\"exp".to_string()];
+    for text in broken {
+        let (hello, mut service) = journal.greeting();
+        assert_eq!(hello, "tail 1\n", "before {text}");
+        service.write_all(text.as_bytes()).unwrap();
+    }
+    let (_, mut service) = journal.greeting();
+    // What is told twice is taken once, and what comes behind goes on from there.
+    service.write_all(format!("{0}\n{0}\n{1}\n{0}\n3\n", purge(2), purge(3)).as_bytes()).unwrap();
+    drop(service);
+    assert_eq!(journal.greeting().0, "tail 3\n");
+    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+}
+
+#[test]
+fn clients_that_hold_on_or_say_nothing_keep_nobody_out() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["sockets"] = json!(64);
+    let program = Program::start(&config);
+    // More than there are places: each asks once and stays, or stays silent, or never ends a frame.
+    let mut held: Vec<Client> = Vec::new();
+    for round in 0..60 {
+        let mut client = Client::new(&program);
+        match round % 3 {
+            0 => assert_eq!(client.lookup(1, "map").code(), 0),
+            1 => client.write(&[9, 0, 0]),
+            _ => {}
+        }
+        held.push(client);
+    }
+    let mut last = Client::new(&program);
+    assert_eq!(last.lookup(1, "map").code(), 0);
+    // Whoever says nothing or half a frame is told and let go in good time.
+    let start = now_ms();
+    let mut silent = Client::new(&program);
+    silent.write(&[9, 0, 0]);
+    while silent.next().is_some() {}
+    assert!(now_ms() - start < 3000);
+    assert_eq!(last.lookup(2, "map").code(), 0);
+}
+
+#[test]
+fn floods_of_what_cannot_be_used_are_answered_and_cut() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut usual = Client::new(&program);
+    // The answer is there before the close, though the peer goes on writing.
+    let mut endless = Client::new(&program);
+    endless.write(&[255; 4]);
+    let mut writer = endless.0.try_clone().unwrap();
+    let flood = thread::spawn(move || while writer.write_all(&[255; 65_536]).is_ok() {});
+    let told = endless.answer();
+    assert_eq!((told.kind, told.stream, told.code()), (66, 0, 5));
+    assert_eq!(usual.lookup(1, "map").code(), 0);
+    drop(endless);
+    flood.join().unwrap();
+    // What the settings don't allow is failed without a send, and its connection is cut in the end.
+    let mut bad = Client::new(&program);
+    cache.request();
+    let out = [("limit", "3002"), ("limit", "NaN"), ("set", "256"), ("slice", "4294967295"), ("item", "x")];
+    for (stream, field) in (1..).zip(out) {
+        bad.write(&ask(stream, "map", &[field], b""));
+        assert_eq!(bad.answer().code(), 5, "{field:?}");
+    }
+    while bad.0.write_all(&ask(99, "none", &[], b"")).is_ok() {}
+    assert!(cache.seen.try_iter().next().is_none());
+    // The id of an open lookup with another object.
+    cache.does(Does::Nothing);
+    usual.write(&ask(2, "map", &[], b""));
+    cache.request();
+    let mut other = Client::new(&program);
+    let id = format!("{:016x}", 2);
+    other.write(&ask(1, "map", &[("txn", &id), ("item", "00000000000000aa")], b""));
+    assert_eq!(other.answer().code(), 5);
+    assert!(cache.seen.try_iter().next().is_none());
+}
