--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -287,7 +287,7 @@
         let stable = stable(&member.id);
         // The module's lines name machines by their stable numbers; here they can be looked up.
         info!(self.log, "machine"; "standing" => ?member.standing, "at" => self.addresses.get(&peer).map(|a| a.to_string()),
-            "id" => &member.id, "stable" => format!("{stable:012x}"));
+            "id" => &member.id, "kind" => &member.flavor, "place" => &member.locality, "stable" => format!("{stable:012x}"));
         // What the settings do not name is none of those that they do.
         let place = |names: &[String], name: &str| {
             names.iter().position(|n| n == name).and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX)
@@ -315,14 +315,16 @@
                 Ok(answered) => answered.ending(),
                 Err(fault) => fault.ending(),
             };
+            let machine = self.machines.name(peer);
             match &result {
                 Ok(Answered { head, .. }) if ending != Ending::Satisfied => {
-                    debug!(self.log, "send unsatisfied"; "lookup" => &taken.request.txn,
+                    debug!(self.log, "send unsatisfied"; "lookup" => &taken.request.txn, "at" => machine,
                         "kind" => &taken.request.verb, "status" => head.status, "note" => head.note);
                 }
                 Ok(_) => {}
                 Err(fault) => {
-                    debug!(self.log, "send failed"; "lookup" => &taken.request.txn, "why" => %fault);
+                    debug!(self.log, "send failed"; "lookup" => &taken.request.txn, "at" => machine,
+                        "took" => now - out.at, "why" => %fault);
                 }
             }
             let mut outcome = Outcome {
