A kind's mean time is held down only once 50 samples make it up

Logging what the gates judge by showed a mean time of transfer-papers of 40 ms at n1 and 69 to 167 at n2 (true: 160), of booking-status 5 ms at n2 and 17 at n1 (true: 33): the lowest mean stands, and Kind::learn took it from the first few samples on, one small part was enough; it gives way by 0.05% a sample. All larger answers then counted as late (control.rs, Kind::learn). Ruled out: the caches themselves (cpu_share 0.12 to 0.6 there; hits took their length at 100 kB/s and no more).

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -67,8 +67,9 @@
 const EASY: f64 = 3.0;
 /// From this part of the window on, a cache is asked first for what it holds.
 const PRESSED: f64 = 0.5;
-/// How fast a mean time that was seen without sizes gives way upwards, a sample.
+/// How fast a mean time that was seen without sizes gives way upwards, a sample; and of how many it is a mean.
 const GIVE: f64 = 1.0005;
+const FEW: f64 = 50.0;
 /// A peer that owes this many answers and has given none for so long is silent; after the longer time it may
 /// have started anew.
 const OWED: u32 = 3;
@@ -160,10 +161,11 @@
 impl Kind {
     fn learn(&mut self, work: f64, told: bool) {
         self.recent += (work - self.recent) / self.seen;
-        self.seen = (self.seen + 1.0).min(if told { 500.0 } else { 50.0 });
-        // Times seen grow with a jam; taken at their word they would hide it. The lowest mean stands, and
-        // gives way slowly.
-        self.work = if told { self.recent } else { self.recent.min(self.work * GIVE) };
+        self.seen = (self.seen + 1.0).min(if told { 500.0 } else { FEW });
+        // Times seen grow with a jam; taken at their word they would hide it. The lowest mean stands, and gives
+        // way slowly; but of few samples it may lie far too low, and all that is larger is then held to be late.
+        let few = self.seen < FEW;
+        self.work = if told || few { self.recent } else { self.recent.min(self.work * GIVE) };
     }
 }
 
