Resets no longer make a machine count as unreached and cold

Three connections reset in a row are enough (Peer::read, Note::Done; Desk::ended counted Broken as lost), and some 15% of the sends were reset. Ruled out: failing shares (the same at all caches, so none stood out), descriptors (71 of 384), CPU (0.07 of a second). Now only connections that do not come up count: a process that has died refuses the next one, a machine that vanished does not let it come up, so a restart is still noticed. Could hurt where a process comes back before anything is refused.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -806,7 +806,8 @@
         let own_pace = satisfied && held && !uncacheable;
         let time = self.time(&lk, &o, own, 1.0).filter(|_| own_pace);
         let pace = own_pace.then(|| (o.took as f64 / (own + 0.02 * SEC as f64)).min(20.0));
-        let lost = matches!(o.ending, Ending::Unconnected | Ending::Broken);
+        // A reset says that somebody is there; a process that has died refuses the next connection.
+        let lost = o.ending == Ending::Unconnected;
         let heard = matches!(o.ending, Ending::Satisfied | Ending::Miss | Ending::Error | Ending::TurnedAway);
         let carried = if satisfied { self.kinds[lk.kind].work } else { 0.0 };
         room.tell(
