A cache that hangs now and then is waited for a part of the budget, then asked again

Checked by logging each send's connection: the share is the same for new connections, kept ones of under 50 ms, 500 ms and 2 s, and spread over objects, so neither reuse nor an object is the cause; answered hits came at their usual pace. The wait was all of the time left, or 60% of it (control.rs, time_out in Desk::plan), and whole caches were passed by for 7 to 10 s after.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -37,8 +37,11 @@
 const EXTRA_SAVED: f64 = 20.0;
 /// A peer that fails this share of what it gets is passed by, but for a few trials.
 const FAILING: f64 = 0.15;
-/// From this share on it is passed by however full the others are.
+/// Below this share and so many times its usual time it only hangs: some answers never come, and what may
+/// come again is waited for this part of its latency budget.
 const FAILING_MOST: f64 = 0.5;
+const QUICK: f64 = 2.0;
+const PATIENCE: f64 = 0.6;
 /// So many times as slow as the quickest of its like a cache drags, and what it has no place for goes on.
 const DRAGS: f64 = 4.0;
 /// A machine that so many sends in a row have not reached is held to be lost.
@@ -72,8 +75,7 @@
 /// How fast a mean time seen without sizes gives way upwards, a sample; and of how many it is a mean.
 const GIVE: f64 = 1.0005;
 const FEW: f64 = 50.0;
-/// A peer that owes this many answers and has given none for so long is silent; after the longer time it may
-/// have started anew.
+/// A peer that owes so many answers and gave none for so long is silent, later maybe started anew.
 const OWED: u32 = 3;
 const SILENT: Micros = SEC;
 const LONG_SILENT: Micros = 4 * SEC;
@@ -470,8 +472,16 @@
         card.lost >= LOST || (card.owed >= OWED && now > card.owed_since + SILENT)
     }
 
-    fn failing(card: &Card, now: Micros) -> f64 {
-        card.failing.drifted(now, 0.0, DRIFT).max(card.doubt.drifted(now, 0.0, DRIFT))
+    /// Fails now and then, if at all.
+    fn partly(&self, ix: PeerIx, now: Micros) -> bool {
+        !Desk::silent(&self.cards[ix], now) && self.cards[ix].failing(now, DRIFT) < FAILING_MOST
+    }
+
+    /// Leaves some unanswered while what it does answer comes at the usual pace: no jam.
+    fn hangs(&self, ix: PeerIx, now: Micros) -> bool {
+        let card = &self.cards[ix];
+        let some = card.doubt.drifted(now, 0.0, DRIFT) > FAILING / 4.0;
+        some && card.pace.drifted(now, 1.0, DRIFT) < QUICK && self.partly(ix, now)
     }
 
     /// Passed by: fails or owes answers, whatever the cause, and is not on trial just now. A slow cache is
@@ -486,7 +496,7 @@
     /// How much more it fails than its like. Failures that all share come from elsewhere, and with most of a
     /// location passed by the rest would be run over.
     fn stands_out(&self, ix: PeerIx, room: &Room<Note>) -> f64 {
-        let rate = |c: &Card| Desk::failing(c, room.now);
+        let rate = |c: &Card| c.failing(room.now, DRIFT);
         let others = self.cards.iter().enumerate();
         let others = others.filter(|(i, c)| *i != ix && c.role == self.cards[ix].role && c.open);
         let (sum, count) = others.fold((0.0, 0.0), |(sum, count), (_, c)| (sum + rate(c), count + 1.0));
@@ -552,10 +562,8 @@
         let source = straight.or_else(|| self.source(held, origin, room));
         let caches = self.order(held, Role::Cache, u64::from(lk.part));
         let sound = caches.iter().copied().find(|ix| !self.shunned(*ix, room));
-        // What fails now and then, as where a share of the sends stays unanswered, takes what the sound have
-        // no place for: most is a hit there, and with half of a location passed by the rest is run over.
-        let partly = |c: &Card| !Desk::silent(c, now) && Desk::failing(c, now) < FAILING_MOST;
-        let home = caches.first().copied().filter(|ix| partly(&self.cards[*ix]));
+        // Most is a hit at what fails in part, and with half of a location passed by the rest is run over.
+        let home = caches.first().copied().filter(|ix| self.partly(*ix, now));
         let sound = sound.map(|ix| home.filter(|_| self.cards[ix].pressed).unwrap_or(ix));
         let cache = match sound {
             Some(cache) if !(uncacheable && direct) => Some(cache),
@@ -635,7 +643,11 @@
             Ask::Held => (1.0, 0.0),
             Ask::Fetch => (1.0, 1.0),
         };
-        let last = held.sends.len() + 1 >= cap;
+        // What may still come in time is asked for again, the next wait is longer, lest large ones starve.
+        let part = PATIENCE * (held.sends.len() + 1) as f64 * self.budget(&lk, kind.work);
+        let last = held.sends.len() + 1 >= cap || kind.repeat == Repeat::SideEffecting;
+        let wait = if last || self.cards[cache].owed < OWED { left } else { left * 6 / 10 };
+        let hangs = !last && self.hangs(cache, now);
         let norm = |role| self.average(role, |c| Some(c.carried.value(now, DRIFT))).unwrap_or(0.0);
         let bid = Bid {
             lk: id,
@@ -645,10 +657,9 @@
             share,
             fetch,
             ease,
-            time_out: if last || self.cards[cache].owed < OWED { left } else { left * 6 / 10 },
+            time_out: if hangs { wait.min(part as Micros) } else { wait },
             work: kind.work,
-            // All of it, though most may hit: emptied caches push a cold parent over before a share of misses
-            // that was seen on full ones has moved.
+            // All of it: emptied caches push a cold parent over before a share of misses seen has moved.
             fill_work: self.own_work(&lk, room),
             norm: norm(self.cards[cache].role),
             fill_norm: norm(Role::Parent),
@@ -679,19 +690,7 @@
 
     fn sent(&mut self, bid: Bid, room: &mut Room<Note>) {
         let Some(held) = self.lookups.get_mut(&bid.lk) else { return };
-        held.sends.push(Sent {
-            peer: bid.cache,
-            source: Some(bid.fill.source).filter(|s| *s != bid.cache),
-            at: room.now,
-            out: true,
-            may_have_run: true,
-            cache_failed: false,
-            source_failed: false,
-            fill: bid.share,
-            fetch: bid.fetch,
-            ask: bid.ask,
-            waited: false,
-        });
+        held.sends.push(Sent::new(&bid, room.now));
         self.fills.enter(room.now, bid.share);
         self.fetches.enter(room.now, bid.fetch);
     }
@@ -715,8 +714,8 @@
         let Some(held) = self.lookups.get(&id).filter(|h| !h.ended) else { return };
         let ran = held.sends.iter().any(|s| s.may_have_run);
         let kind = &self.kinds[held.lk.kind];
-        let safe = kind.repeat == Repeat::Idempotent;
-        let harmless = !ran || safe || (kind.repeat == Repeat::Deduplicated && kind.group == "all");
+        let all = kind.repeat == Repeat::Deduplicated && kind.group == "all";
+        let harmless = !ran || kind.repeat == Repeat::Idempotent || all;
         let most = room.rules.span("limits.max_retry_after_s", 0.0);
         // Spread, lest all that a jam turned down come back together.
         let wait = SEC / 100 + (room.draw() * SEC as f64 / 2.0) as Micros;
@@ -726,6 +725,7 @@
     }
 
     fn ended(&mut self, o: Outcome, room: &mut Room<Note>) {
+        let hung = o.ending == Ending::TimedOut && o.send == 0 && self.hangs(o.peer, room.now);
         let Some(held) = self.lookups.get_mut(&o.id) else { return };
         let (lk, ended) = (held.lk, held.ended);
         let Some(send) = held.sends.get_mut(usize::from(o.send)).filter(|s| s.out) else { return };
@@ -756,7 +756,8 @@
         // In doubt the one that stands out is left alone next time, and the other tried again.
         let doubt = |ix: PeerIx| self.cards[ix].doubt.drifted(room.now, 0.0, DRIFT);
         let source_worse = send.source.is_some_and(|s| doubt(s) > doubt(o.peer));
-        send.cache_failed = !(satisfied || upstream || (unclear && source_worse));
+        send.waited = hung;
+        send.cache_failed = !(satisfied || upstream || send.waited || (unclear && source_worse));
         send.source_failed = at_source || (unclear && source_worse) || o.ending == Ending::Miss;
         let (at, source_ix, share, fetch, ask) = (send.at, send.source, send.fill, send.fetch, send.ask);
         let look = matches!(ask, Ask::Look | Ask::Stale);
@@ -776,10 +777,7 @@
         }
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
-        // Nor does what one cache alone leaves unanswered.
-        let alone = o.ending == Ending::TimedOut && self.stands_out(o.peer, room) > FAILING / 2.0;
-        let judges = share > 0.0 && !held && !uncacheable && !alone;
-        if let Some(time) = self.time(&lk, &o, own, drag).filter(|_| judges) {
+        if let Some(time) = self.time(&lk, &o, own, drag).filter(|_| share > 0.0 && !held && !uncacheable) {
             let late = time > 1.0;
             // Behind the parent or before it: by the notes, by the first byte, or by what was asked.
             let behind = match o.remark {
@@ -876,11 +874,6 @@
         held.waiting
     }
 
-    /// Whether a lookup waited for this ring; it does no longer.
-    fn waits(&mut self, id: u32) -> bool {
-        self.lookups.get_mut(&id).is_some_and(|held| std::mem::take(&mut held.waiting))
-    }
-
     /// Extra sends are earned by first ones, so that retries cannot feed an overload. None is spent on what
     /// only the origin can do while the origin itself fails: eight sends each would hold it down.
     fn again(&mut self, id: u32, room: &mut Room<Note>) {
@@ -938,8 +931,12 @@
             Event::Began { id } => desk.lookups.get_mut(&id).into_iter().for_each(|held| held.began = true),
             Event::Ended(outcome) => desk.ended(outcome, room),
             Event::Left { id } => desk.close(id, room),
-            Event::Rang { token } if desk.waits(token) => desk.plan(token, room),
-            Event::Rang { .. } => room.out.push(Action::Subscribe),
+            Event::Rang { token } => {
+                match desk.lookups.get_mut(&token).map(|h| std::mem::take(&mut h.waiting)) {
+                    Some(true) => desk.plan(token, room),
+                    _ => room.out.push(Action::Subscribe),
+                }
+            }
             Event::Purged { object, group, ago } => {
                 let name = (object, if object.is_some() { 0 } else { group });
                 let last = desk.purged.get(now, name).unwrap_or(Micros::MIN);
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -55,6 +55,25 @@
     pub waited: bool,
 }
 
+impl Sent {
+    /// One that has just gone out: until its end is heard it may have run.
+    pub fn new(bid: &Bid, now: Micros) -> Sent {
+        Sent {
+            peer: bid.cache,
+            source: Some(bid.fill.source).filter(|s| *s != bid.cache),
+            at: now,
+            out: true,
+            may_have_run: true,
+            cache_failed: false,
+            source_failed: false,
+            fill: bid.share,
+            fetch: bid.fetch,
+            ask: bid.ask,
+            waited: false,
+        }
+    }
+}
+
 // For one lookup.
 
 /// A lookup while the front owes its answer, and until the last of its sends is heard of.
@@ -134,6 +153,11 @@
 }
 
 impl Card {
+    /// The share of what it gets that it fails, whether surely or in doubt.
+    pub fn failing(&self, now: Micros, drift: f64) -> f64 {
+        self.failing.drifted(now, 0.0, drift).max(self.doubt.drifted(now, 0.0, drift))
+    }
+
     /// Of a peer of which nothing is known.
     pub fn new() -> Card {
         Card {
