A kind's mean is learned from the size of each answer where the front shows it

Now that exception is gone, and the cause on sockets is met at its root: an answer shows how many bytes came, the configuration tells both flows, so Outcome carries the size and the mean needs no guess. Not for uncacheable kinds, whose time is not their size.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -93,6 +93,7 @@
                 finished: d.finished,
                 remark: remark(usize::from(d.note)),
                 first_byte: (d.first_byte_s > 0.0).then(|| micros(d.first_byte_s)),
+                size_kb: 0.0,
                 report: reports(&d.health_info),
             }),
             Arrival::Expired { id } => Event::Left { id },
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -72,9 +72,8 @@
 const EASY: f64 = 3.0;
 /// From this part of the window on, a cache is asked first for what it holds.
 const PRESSED: f64 = 0.5;
-/// How fast a mean time seen without sizes gives way upwards, a sample; and of how many it is a mean.
+/// How fast a mean time that was seen without sizes gives way upwards, a sample.
 const GIVE: f64 = 1.0005;
-const FEW: f64 = 50.0;
 /// A peer that owes so many answers and gave none for so long is silent, later maybe started anew.
 const OWED: u32 = 3;
 const SILENT: Micros = SEC;
@@ -165,11 +164,10 @@
 impl Kind {
     fn learn(&mut self, work: f64, told: bool) {
         self.recent += (work - self.recent) / self.seen;
-        self.seen = (self.seen + 1.0).min(if told { 500.0 } else { FEW });
+        self.seen = (self.seen + 1.0).min(if told { 500.0 } else { 50.0 });
         // Times seen grow with a jam; taken at their word they would hide it. The lowest mean stands, and
-        // gives way slowly; of few samples it may lie far too low, and what is larger would count as late.
-        let few = self.seen < FEW;
-        self.work = if told || few { self.recent } else { self.recent.min(self.work * GIVE) };
+        // gives way slowly.
+        self.work = if told { self.recent } else { self.recent.min(self.work * GIVE) };
     }
 }
 
@@ -772,7 +770,10 @@
         let filled = matches!(o.remark, Remark::Filled | Remark::FilledFromOrigin);
         let own = self.own_work(&lk, room);
         let uncacheable = self.kinds[lk.kind].uncacheable;
-        if satisfied && lk.size_kb <= 0.0 && (held || !told || uncacheable) {
+        if o.size_kb > 0.0 && lk.size_kb <= 0.0 && !uncacheable {
+            let work = self.own_work(&Lookup { size_kb: o.size_kb, ..lk }, room);
+            self.kinds[lk.kind].learn(work, true);
+        } else if satisfied && lk.size_kb <= 0.0 && (held || !told || uncacheable) {
             self.kinds[lk.kind].learn(o.took as f64, false);
         }
         // A cache that drags what it holds itself says nothing of the fills.
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -103,6 +103,8 @@
     pub finished: bool,
     pub remark: Remark,
     pub first_byte: Option<Micros>,
+    /// How large the part was, in the unit of the settings; 0 where the answer does not show it.
+    pub size_kb: f64,
     /// Values in the order of the setting `feedback.fields`.
     pub report: Vec<f64>,
 }
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -5,7 +5,7 @@
 //!   `T unlisted` a failed call.
 //! - `T ask ID [object=] [part=] [size=] [kind=] [group=] [until=]` brings a lookup, `T flood FROM N SPAN
 //!   ...` N of them, each for an object of its own, over SPAN seconds.
-//! - `T end ID SEND ENDING [took=] [remark=] [byte=] [report=]` ends a send, `T answer FROM N NAME,...
+//! - `T end ID SEND ENDING [took=] [remark=] [byte=] [size=] [report=]` ends a send, `T answer FROM N NAME,...
 //!   ENDING ...` the first sends of N lookups as far as they went to a NAME; `T left ID`;
 //!   `T purge object=|group= ago=`.
 //! - `expect ID send [to=] [from=] [keep=] [held=] [age=] [age<=] [out<=]` takes the next action for the
@@ -213,6 +213,7 @@
                 None => Remark::None,
             },
             first_byte: option(words, "byte").map(time),
+            size_kb: option(words, "size").map_or(0.0, |kb| kb.parse().unwrap()),
             report: option(words, "report")
                 .map_or(Vec::new(), |r| r.split(',').map(|v| v.parse().unwrap()).collect()),
         })
@@ -289,6 +290,6 @@
     repeat_window source_choice silent_parent jam_of_fills crowded_cache failing_cache many_fronts
     emptied_caches full_link few_fronts on_its_way walked_together refusing_origin dragging_cache well_again
     shared_failures parent_copies send_cap failing_parent room_in_budget silent_cache no_sound_cache
-    back_from_silence direct_copies restarted_front discovery replaced_machine bare_settings few_samples
+    back_from_silence direct_copies restarted_front discovery replaced_machine bare_settings sizes_in_answers
     partly_failing resets hanging_cache
 }
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -68,6 +68,8 @@
     pub zones: Vec<String>,
     pub machines: Vec<String>,
     pub reports: Vec<String>,
+    /// What a byte on the sockets stands for in the settings' kilobytes: both flows are told.
+    pub kb_per_byte: f64,
     pub connect_timeout: Micros,
     pub conn_idle: Micros,
     /// The longest that a client waits.
@@ -226,6 +228,8 @@
         let bounds = told.get("limits");
         // Clients hold a third of the descriptors at most; a little more lets them cross a close.
         let clients = (sockets - SPARE) * 2 / 5;
+        let kb_per_s = told.get("specifics").get("flow_kb_per_s").number(1.0, 0.0)?;
+        let bytes_per_s = root.get("flow_bytes_per_s").number((kb_per_s * 1e3).max(1.0), 1.0)?;
         let known = root.get("known");
         if !known.need()?["entries"].is_array() {
             return Err(faulty("known.entries", "is not a list"));
@@ -249,6 +253,7 @@
             zones: told.get("zones").names(None)?,
             machines: told.get("host_types").names(None)?,
             reports: told.get("feedback").get("fields").names(None)?,
+            kb_per_byte: kb_per_s / bytes_per_s,
             connect_timeout: door::micros(bounds.get("connect_timeout_s").number(CONNECT_TIMEOUT, 0.001)?),
             conn_idle: door::micros(bounds.get("conn_idle_s").number(CONN_IDLE, 0.0)?),
             longest: door::micros(longest / 1e3),
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -336,11 +336,13 @@
                 finished: false,
                 remark: Remark::None,
                 first_byte: None,
+                size_kb: 0.0,
                 report: Vec::new(),
             };
             if let Ok(Answered { head, body }) = &result {
                 outcome.remark = remark(head.note);
                 outcome.first_byte = head.source_ms.map(|ms| (ms * 1e3) as Micros);
+                outcome.size_kb = body.len() as f64 * self.config.kb_per_byte;
                 outcome.report = report(&head.load, &self.config.reports);
                 if ending == Ending::Satisfied {
                     let current = head.status == 304;
