--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -85,7 +85,6 @@
 #[derive(Debug, PartialEq)]
 pub struct Class {
     pub name: String,
-    /// With what rounding may add.
     pub deadline_ms: f64,
     /// Its lookups carry a mark against repeats.
     pub keyed: bool,
@@ -167,15 +166,15 @@
 }
 
 impl Config {
-    pub fn load(path: PathBuf, env: impl Fn(&str) -> Option<String>) -> Result<Config, Faulty> {
+    pub fn load(path: PathBuf) -> Result<Config, Faulty> {
         let text = std::fs::read_to_string(&path);
         let text = text.map_err(|e| faulty("BALANCER_CONFIG", format!("{}: {e}", path.display())))?;
-        Ok(Config { path, ..Config::read(&text, env)? })
+        Ok(Config { path, ..Config::read(&text, |name| std::env::var(name).ok())? })
     }
 
     /// The file as it stands now, checked as at the start.
     pub fn again(&self) -> Result<Config, Faulty> {
-        Config::load(self.path.clone(), |name| std::env::var(name).ok())
+        Config::load(self.path.clone())
     }
 
     /// Takes over what may change while the front runs; the keys of what else has changed are returned.
@@ -217,12 +216,12 @@
         let class = |(at, name): (usize, String)| {
             let class = told.get("classes").value.and_then(|classes| classes.get(at));
             let class = Node { value: class, path: format!("settings.classes.{at}") };
-            let deadline_ms = class.get("deadline_s").number(LONGEST, 0.001)? * 1e3 + 1.0;
+            let deadline_ms = class.get("deadline_s").number(LONGEST, 0.001)? * 1e3;
             let keyed = class.get("repeat").value.is_some_and(|repeat| repeat == "keyed");
             Ok(Class { name, deadline_ms, keyed })
         };
         let classes = classes.into_iter().enumerate().map(class).collect::<Result<Vec<_>, _>>()?;
-        let longest = classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max) - 1.0;
+        let longest = classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
         let mut pairs = Vec::new();
         flatten(told.need()?, "", &mut pairs);
         let bounds = told.get("limits");
--- a/crates/front/src/frame.rs
+++ b/crates/front/src/frame.rs
@@ -2,14 +2,15 @@
 
 use std::fmt;
 
-/// What comes before a payload, and the bounds of what the length field may say.
+/// What comes before a payload.
 pub const HEAD: usize = 9;
-const LENGTH: std::ops::RangeInclusive<usize> = 5..=262_144;
 /// The longest frame with its length field.
 pub const LONGEST: usize = 262_148;
 /// The longest that a client can ask with: the largest body, and fields. What says that it is longer is not
 /// waited for, or half frames of many would fill the memory.
 pub const ASKED: usize = 65_536;
+/// What the length field of a client may say.
+const LENGTH: std::ops::RangeInclusive<usize> = 5..=ASKED - 4;
 /// The largest body that a client may bring.
 const BODY: usize = 48_000;
 
@@ -65,7 +66,7 @@
         return Ok(None);
     };
     let length = u32::from_le_bytes(*length) as usize;
-    if !LENGTH.contains(&length) || length > ASKED - 4 {
+    if !LENGTH.contains(&length) {
         return Err(Fault::Framing(length));
     }
     let Some(frame) = rest.get(..length) else {
@@ -144,11 +145,10 @@
         return Err(Fault::Unreadable("limit"));
     }
     let ((item, object), (txn, id)) = (hex("item")?, hex("txn")?);
-    let set = read("set", get("set").unwrap_or("0"))?;
-    let slice = read("slice", get("slice").unwrap_or("0"))?;
-    if set > SETS || slice > PARTS {
-        return Err(Fault::Unreadable(if set > SETS { "set" } else { "slice" }));
-    }
+    let upto = |name: &'static str, most: u32| {
+        let number: u32 = read(name, get(name).unwrap_or("0"))?;
+        Some(number).filter(|n| *n <= most).ok_or(Fault::Unreadable(name))
+    };
     if body.len() > BODY {
         return Err(Fault::Unreadable("body"));
     }
@@ -160,8 +160,8 @@
         unique: optional("unique")?,
         item,
         object,
-        slice,
-        set,
+        slice: upto("slice", PARTS)?,
+        set: upto("set", SETS)?,
         seen: optional("seen")?,
         size_kb: read("ram", get("ram").unwrap_or("0")).map(|kb: f64| {
             if kb.is_finite() {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -23,6 +23,8 @@
 const TICK: Micros = 250_000;
 /// How long after the signal to end connections and lookups may still come in (the platform says 0.6 s).
 const LINGER: Micros = 700_000;
+/// What rounding may add to the limit that a client tells.
+const ROUNDED_MS: f64 = 1.0;
 /// How long last answers are left to be read by whoever is slow, before the program ends.
 const LAST: Micros = 300_000;
 
@@ -221,9 +223,7 @@
             Key::Signal => {}
             Key::Reload => self.reload(now),
             Key::Journal(_) => {
-                let mut news = Vec::new();
-                self.journal.handle(key, ready, now, &mut self.poll, &mut news);
-                news.into_iter().for_each(|news| self.told(news, now));
+                self.follow(now, |journal, poll, news| journal.handle(key, ready, now, poll, news));
             }
             // Each is dealt with before the next is read: together they could hold more than there is.
             Key::Cache(number) => {
@@ -256,8 +256,14 @@
             warn!(self.log, "takes effect at the next start only"; "key" => key);
         }
         info!(self.log, "configuration read again"; "journal" => %self.config.journal);
+        let address = self.config.journal;
+        self.follow(now, |journal, poll, news| journal.move_to(address, now, poll, news));
+    }
+
+    /// One step with the journal service, and what it told.
+    fn follow(&mut self, now: Micros, step: impl FnOnce(&mut Journal, &mut Poll, &mut Vec<News>)) {
         let mut news = Vec::new();
-        self.journal.move_to(self.config.journal, now, &mut self.poll, &mut news);
+        step(&mut self.journal, &mut self.poll, &mut news);
         news.into_iter().for_each(|news| self.told(news, now));
     }
 
@@ -402,9 +408,7 @@
         self.knocking = true;
         self.caches.sweep(now, &self.poll);
         self.clients.sweep(now, &mut self.poll);
-        let mut news = Vec::new();
-        self.journal.keep_up(now, &mut self.poll, &mut news);
-        news.into_iter().for_each(|news| self.told(news, now));
+        self.follow(now, |journal, poll, news| journal.keep_up(now, poll, news));
         self.timers.push(Reverse((now + TICK, Timer::Tick)));
     }
 
@@ -490,7 +494,7 @@
         let kind = self.config.classes.iter().position(|class| class.name == request.verb);
         let kind = kind.ok_or("class")?;
         let class = &self.config.classes[kind];
-        if request.limit_ms > class.deadline_ms {
+        if request.limit_ms > class.deadline_ms + ROUNDED_MS {
             return Err("limit");
         }
         if class.keyed && request.unique.is_none() {
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -74,10 +74,9 @@
 }
 
 fn main() -> ExitCode {
-    let env = |name: &str| std::env::var(name).ok();
-    let config = match env("BALANCER_CONFIG") {
+    let config = match std::env::var("BALANCER_CONFIG").ok() {
         None => Err("BALANCER_CONFIG: is not set".to_string()),
-        Some(path) => Config::load(path.into(), env).map_err(|faulty| faulty.to_string()),
+        Some(path) => Config::load(path.into()).map_err(|faulty| faulty.to_string()),
     };
     match config.and_then(serve) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -174,9 +174,8 @@
         {
             // A machine's address may have passed to another.
             let quiet = |c: &mut Conn| {
-                c.link.readable = true;
                 c.address == address
-                    && matches!(poll.fill(&mut c.link), Ok(false))
+                    && matches!(poll.look(&mut c.link), Ok(false))
                     && c.link.inbound.is_empty()
             };
             if self.conns.get_mut(&number).is_some_and(quiet) {
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -159,8 +159,7 @@
     fn let_go(&mut self, number: u64, now: Micros, poll: &mut Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
         let before = client.link.inbound.len();
-        client.link.readable = true;
-        if !client.deaf && poll.fill(&mut client.link).is_ok() && client.link.inbound.len() > before {
+        if !client.deaf && poll.look(&mut client.link).is_ok() && client.link.inbound.len() > before {
             client.used_at = now;
             client.unfinished = client.unfinished.map(|_| now);
             self.more.insert(number);
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -93,31 +93,40 @@
             if room == 0 {
                 break;
             }
-            match (&*link.stream).read(&mut self.scratch[..room]) {
-                Ok(0) => {
-                    link.readable = false;
-                    return Ok(true);
-                }
-                Ok(n) => link.inbound.put(&self.scratch[..n]).map_err(|_| ErrorKind::OutOfMemory)?,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => link.readable = false,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+            match self.piece(link, room)? {
+                Some(0) => return Ok(true),
+                Some(n) => link.inbound.put(&self.scratch[..n]).map_err(|_| ErrorKind::OutOfMemory)?,
+                None => {}
             }
         }
         Ok(false)
     }
-}
 
-impl Poll {
+    /// The same where the loop may not have told yet that something has come.
+    pub fn look(&mut self, link: &mut Link) -> io::Result<bool> {
+        link.readable = true;
+        self.fill(link)
+    }
+
     /// Reads one piece of what has come and drops it; true once the peer has ended its side.
     pub fn discard(&mut self, link: &mut Link) -> io::Result<bool> {
-        match (&*link.stream).read(&mut self.scratch) {
-            Ok(n) => return Ok(n == 0),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => link.readable = false,
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) => return Err(e),
+        Ok(self.piece(link, SCRATCH)? == Some(0))
+    }
+
+    /// One read: how much came, and none where nothing is there.
+    fn piece(&mut self, link: &mut Link, most: usize) -> io::Result<Option<usize>> {
+        match (&*link.stream).read(&mut self.scratch[..most]) {
+            Ok(n) => {
+                link.readable &= n > 0;
+                Ok(Some(n))
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                link.readable = false;
+                Ok(None)
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => Ok(None),
+            Err(e) => Err(e),
         }
-        Ok(false)
     }
 }
 
