--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,267 @@
+//! The settings file: protobuf text format after `proto/meadowrill.proto`. Read and checked whole; a fault names the
+//! key, the line and the reason.
+
+pub mod places;
+
+use ipnet::IpNet;
+use meadowrill_turns::plan::{ClientBy, Order, Plan, Tenant};
+use miette::Diagnostic;
+use prost_reflect::{DescriptorPool, DynamicMessage, Value};
+use std::fmt;
+use std::net::IpAddr;
+
+static SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/schema.bin"));
+
+/// How often a report may go to the log, in seconds.
+const EVERY: std::ops::RangeInclusive<f64> = 1.0..=86_400.0;
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Form {
+    #[default]
+    Text,
+    Json,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    pub log: Form,
+    /// Path of the operators' socket.
+    pub socket: Option<String>,
+    /// Seconds between reports in the log.
+    pub report_every: Option<f64>,
+    pub turns: Plan,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faulty {
+    pub key: String,
+    /// From 1; 0 where no line can be told.
+    pub line: usize,
+    pub what: String,
+}
+
+impl fmt::Display for Faulty {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}: {}", self.key, self.what),
+            line => write!(f, "line {line}: {}: {}", self.key, self.what),
+        }
+    }
+}
+
+/// A message with the path to it.
+struct Node {
+    message: DynamicMessage,
+    path: String,
+}
+
+impl Node {
+    fn key(&self, name: &str) -> String {
+        if self.path.is_empty() {
+            name.to_string()
+        } else {
+            format!("{}.{name}", self.path)
+        }
+    }
+
+    /// What was told; a field that is missing from the schema is a fault of this program.
+    fn value(&self, name: &str) -> Option<Value> {
+        let told = self.message.has_field_by_name(name);
+        told.then(|| self.message.get_field_by_name(name).map(|v| v.into_owned())).flatten()
+    }
+
+    fn node(&self, name: &str) -> Option<Node> {
+        let message = self.value(name)?.as_message()?.clone();
+        Some(Node { message, path: self.key(name) })
+    }
+
+    fn nodes(&self, name: &str) -> Vec<Node> {
+        let value = self.value(name);
+        let items = value.as_ref().and_then(Value::as_list).unwrap_or_default();
+        let node = |(at, item): (usize, &Value)| {
+            let message = item.as_message()?.clone();
+            Some(Node { message, path: format!("{}[{at}]", self.key(name)) })
+        };
+        items.iter().enumerate().filter_map(node).collect()
+    }
+
+    fn text(&self, name: &str) -> Option<String> {
+        self.value(name)?.as_str().map(str::to_string)
+    }
+
+    fn texts(&self, name: &str) -> Vec<String> {
+        let value = self.value(name);
+        let items = value.as_ref().and_then(Value::as_list).unwrap_or_default();
+        items.iter().filter_map(|v| v.as_str().map(str::to_string)).collect()
+    }
+
+    fn number(&self, name: &str) -> Option<f64> {
+        self.value(name)?.as_f64()
+    }
+
+    fn count(&self, name: &str) -> Option<usize> {
+        self.value(name)?.as_u32().map(|n| n as usize)
+    }
+
+    /// The number of an enum value; the first one where none was told.
+    fn choice(&self, name: &str) -> i32 {
+        self.value(name).and_then(|v| v.as_enum_number()).unwrap_or(0)
+    }
+}
+
+fn fault(text: &str, key: String, what: impl Into<String>) -> Faulty {
+    Faulty { line: places::line_of(text, &key), key, what: what.into() }
+}
+
+/// The text of a settings file.
+pub fn read(text: &str) -> Result<Settings, Faulty> {
+    let no_schema = |e: &dyn fmt::Display| Faulty { key: "schema".into(), line: 0, what: e.to_string() };
+    let pool = DescriptorPool::decode(SCHEMA).map_err(|e| no_schema(&e))?;
+    let schema = pool.get_message_by_name("meadowrill.Settings").ok_or_else(|| no_schema(&"no Settings"))?;
+    let message = DynamicMessage::parse_text_format(schema, text).map_err(|e| {
+        let at = e.labels().and_then(|mut labels| labels.next()).map_or(text.len(), |label| label.offset());
+        let (key, line) = places::at(text, at);
+        Faulty { key, line, what: e.to_string() }
+    })?;
+    let root = Node { message, path: String::new() };
+    let mut settings = Settings::default();
+    if let Some(log) = root.node("log") {
+        settings.log = if log.choice("form") == 1 { Form::Json } else { Form::Text };
+    }
+    if let Some(operators) = root.node("operators") {
+        settings.socket = operators.text("socket").filter(|path| !path.is_empty());
+        settings.report_every = operators.number("report_every_s").filter(|every| *every != 0.0);
+        if settings.report_every.is_some_and(|every| !EVERY.contains(&every)) {
+            let what = format!("is not within {} to {}", EVERY.start(), EVERY.end());
+            return Err(fault(text, operators.key("report_every_s"), what));
+        }
+    }
+    if let Some(turns) = root.node("turns") {
+        settings.turns = plan(&turns, text)?;
+        settings.turns.check().map_err(|f| fault(text, f.key, f.what))?;
+    }
+    Ok(settings)
+}
+
+fn plan(turns: &Node, text: &str) -> Result<Plan, Faulty> {
+    let usual = Plan::default();
+    let mut tenants = vec![Tenant::default()];
+    tenants[0].weight = turns.number("default_weight").unwrap_or(tenants[0].weight);
+    for tenant in turns.nodes("tenant") {
+        let mut networks = Vec::new();
+        for (at, network) in tenant.texts("network").iter().enumerate() {
+            // A lone address is a network of one.
+            let parsed = network
+                .parse::<IpNet>()
+                .or_else(|e| network.parse::<IpAddr>().map(IpNet::from).map_err(|_| e));
+            let key = || format!("{}[{at}]", tenant.key("network"));
+            networks.push(parsed.map_err(|_| fault(text, key(), format!("{network:?} is no IP network")))?);
+        }
+        tenants.push(Tenant {
+            name: tenant.text("name").unwrap_or_default(),
+            weight: tenant.number("weight").unwrap_or(1.0),
+            networks,
+            values: tenant.texts("value"),
+        });
+    }
+    let field = turns.text("client_field").filter(|field| !field.is_empty());
+    let client_by = match (turns.choice("client_by"), field) {
+        (2, None) => {
+            return Err(fault(text, turns.key("client_field"), "is missing, but clients are told by a field"))
+        }
+        (2, Some(field)) => ClientBy::Field(field),
+        (_, Some(_)) => {
+            return Err(fault(text, turns.key("client_field"), "is told, but client_by is not FIELD"))
+        }
+        (1, None) => ClientBy::Connection,
+        (_, None) => ClientBy::Address,
+    };
+    let order = match turns.choice("order") {
+        2 => Order::Fair,
+        1 => Order::Buckets,
+        _ => Order::FirstCome,
+    };
+    Ok(Plan {
+        order,
+        tenants,
+        tenant_field: turns.text("tenant_field").filter(|field| !field.is_empty()),
+        client_by,
+        waiting_most: turns.count("waiting_most").unwrap_or(usual.waiting_most),
+        inside_least: turns.count("inside_least").unwrap_or(usual.inside_least),
+        inside_most: turns.count("inside_most").unwrap_or(usual.inside_most),
+        per_kb: turns.count("us_per_kb").map_or(usual.per_kb, |n| n as i64),
+        bucket_per_s: turns.number("bucket_per_s").unwrap_or(usual.bucket_per_s),
+        bucket_burst: turns.number("bucket_burst").unwrap_or(usual.bucket_burst),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"# The door of a district.
+log { form: JSON }
+operators { report_every_s: 60 }
+turns {
+  order: FAIR
+  tenant { name: "north" weight: 3 network: "10.1.0.0/16" network: "10.2.3.4" }
+  tenant {
+    name: "south"
+    network: "10.9.0.0/16"
+    value: "s" # by field
+  }
+  tenant_field: "house"
+  client_by: FIELD
+  client_field: "desk"
+  inside_least: 8
+}
+"#;
+
+    #[test]
+    fn a_whole_file_is_read() {
+        let settings = read(GOOD).unwrap();
+        assert_eq!((settings.log, settings.report_every, settings.socket), (Form::Json, Some(60.0), None));
+        let plan = settings.turns;
+        assert_eq!((plan.order, plan.inside_least, plan.tenants.len()), (Order::Fair, 8, 3));
+        assert_eq!((plan.tenants[1].weight, plan.tenants[1].networks.len()), (3.0, 2));
+        assert_eq!(plan.client_by, ClientBy::Field("desk".into()));
+        assert_eq!(read("").unwrap(), Settings::default());
+    }
+
+    #[test]
+    fn the_faulty_key_and_its_line_are_named() {
+        let cases = [
+            ("weight: 3", "weight: nan", "turns.tenant[0].weight", 6),
+            ("weight: 3", "weight: 0", "turns.tenant[0].weight", 6),
+            ("weight: 3", "weight: -1", "turns.tenant[0].weight", 6),
+            ("weight: 3", "weight: 1e300", "turns.tenant[0].weight", 6),
+            ("weight: 3", "weight: inf", "turns.tenant[0].weight", 6),
+            ("weight: 3", "weight: \"3\"", "turns.tenant[0].weight", 6),
+            ("weight: 3", "wait: 3", "turns.tenant[0].wait", 6),
+            ("10.9.0.0/16", "10.9.0.0/99", "turns.tenant[1].network[0]", 9),
+            ("10.9.0.0/16", "10.2.3.4/32", "turns.tenant[1].network[0]", 9),
+            ("\"south\"", "\"north\"", "turns.tenant[1].name", 8),
+            ("\"south\"", "\"\"", "turns.tenant[1].name", 8),
+            ("\"south\"", "\"so uth\"", "turns.tenant[1].name", 8),
+            ("inside_least: 8", "inside_least: -8", "turns.inside_least", 15),
+            ("inside_least: 8", "inside_least: 0", "turns.inside_least", 15),
+            ("inside_least: 8", "inside_least: 99999999999", "turns.inside_least", 15),
+            ("inside_least: 8", "waiting_most: 0", "turns.waiting_most", 15),
+            ("inside_least: 8", "bucket_per_s: 0", "turns.bucket_per_s", 15),
+            ("inside_least: 8", "default_weight: 0", "turns.default_weight", 15),
+            ("order: FAIR", "order: FARE", "turns.order", 5),
+            ("report_every_s: 60", "report_every_s: 0.1", "operators.report_every_s", 3),
+            ("client_by: FIELD", "client_by: ADDRESS", "turns.client_field", 14),
+            ("  client_field: \"desk\"\n", "", "turns.client_field", 4),
+            ("  tenant_field: \"house\"\n", "", "turns.tenant_field", 4),
+        ];
+        for (good, bad, key, line) in cases {
+            assert!(GOOD.contains(good), "{good}");
+            let faulty = read(&GOOD.replacen(good, bad, 1)).unwrap_err();
+            assert_eq!((faulty.key.as_str(), faulty.line), (key, line), "{bad}: {faulty}");
+            assert!(!faulty.what.is_empty());
+        }
+        // Never closed: told at the end.
+        assert_eq!(read("turns {\n order: FAIR\n").unwrap_err().line, 2);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,26 @@
+//! Stand-ins for all that the program talks to, written from the pages of its protocol: scripted clients, caches,
+//! parent and origin, the journal service, and the program itself as a child. Loopback only; each ends with the
+//! process that began it. What goes wrong in a stand-in is a panic: it is a fault of the test.
+
+pub mod cache;
+pub mod client;
+pub mod journal;
+pub mod load;
+pub mod program;
+pub mod service;
+
+pub use cache::{header, ok, says, Cache, Does, Seen};
+pub use client::{ask, fields, frame, Client, Frame};
+pub use journal::Journal;
+pub use program::{config, member, Program};
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Turns a hang into a failure; whatever arrives ends the wait before.
+pub const HANG: Duration = Duration::from_secs(20);
+/// The object that is asked for where nothing else is told.
+pub const OBJECT: &str = "7f3a9c21e0b4d655";
+
+pub fn now_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
--- /dev/null
+++ b/crates/standins/src/program.rs
@@ -0,0 +1,122 @@
+//! The program as a child, with a configuration as the platform writes it.
+
+use crate::{Cache, Journal};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::thread;
+
+/// The program, beside whatever was built with it and runs now.
+pub fn binary() -> PathBuf {
+    let here = std::env::current_exe().expect("a path of its own");
+    let beside = here.parent().expect("a folder");
+    let beside = if beside.ends_with("deps") { beside.parent().expect("a folder") } else { beside };
+    beside.join("meadowrill")
+}
+
+pub fn member(id: &str, flavor: &str, address: SocketAddr, phase: &str) -> Value {
+    let locality = if flavor == "std" { "east" } else { "main" };
+    json!({"id": id, "host_port": address.to_string(), "locality": locality, "flavor": flavor, "cell": 1,
+        "phase": phase, "size": 1, "up_since_ms": 0})
+}
+
+pub fn config(caches: &[(&str, SocketAddr)], journal: SocketAddr) -> Value {
+    let nowhere: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let mut members =
+        vec![member("s-p", "parent", nowhere, "SERVING"), member("s-o", "origin", nowhere, "SERVING")];
+    members.extend(caches.iter().map(|(id, address)| member(id, "std", *address, "SERVING")));
+    let class = |name: &str, repeat: &str| {
+        json!({"name": name, "repeat": repeat, "goal_time_s": 0.5, "deadline_s": 3.0, "aim_stretch": 2.0,
+            "group": "all", "key_ttl_s": 5.0, "worth": 1.0})
+    };
+    json!({"name": "n1", "listen": "127.0.0.1:0", "seed": "1f", "journal": journal.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"pos": 1, "entries": [{"pos": 1, "hosts": {"complete": true, "members": members}}]},
+        "settings": {
+            "balancers": 1, "locality": 1, "zones": ["main", "east"], "host_types": ["std", "parent", "origin"],
+            "classes": [class("map", "safe"), class("order", "unsafe")], "weight_kind": "off",
+            "feedback": {"fields": ["cpu_share"], "source": "inline"},
+            "guarantees": {"cold_from": 0.2, "warm_after_s": 10.0, "overload_factor": 3.0, "overload_for_s": 3.0},
+            "limits": {"cancel": true, "conn_idle_s": 30.0, "connect_timeout_s": 0.4, "max_open": 20000,
+                "retry_after": true, "max_retry_after_s": 1.0, "send_cap": 4},
+            "specifics": {"origin_kind": 2, "second_tier_kind": 1, "says": "all", "pass_through_ok": false,
+                "goes_through": [false, true], "max_age_s": [0.0, 0.0], "stale_for_s": [0.0, 0.0],
+                "shares_fills": false, "purge_settles_s": 600.0, "upper_cold_from": 0.1,
+                "parent_warms_in_s": 10.0, "parent_fall_multiple": 2.0, "zone_balancers": [0, 1]}}})
+}
+
+pub struct Program {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: Option<BufReader<ChildStderr>>,
+    pub config: tempfile::TempPath,
+}
+
+impl Program {
+    pub fn command(config: &Value) -> (Command, tempfile::TempPath) {
+        let mut file = tempfile::NamedTempFile::new().unwrap();
+        file.write_all(config.to_string().as_bytes()).unwrap();
+        let path = file.into_temp_path();
+        let mut command = Command::new(binary());
+        command.env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
+        (command, path)
+    }
+
+    pub fn start(config: &Value) -> Program {
+        let mut program = Program::unread(config);
+        let mut log = program.log.take().unwrap();
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        program
+    }
+
+    /// One whose log is read no further than to its address.
+    pub fn unread(config: &Value) -> Program {
+        let (mut command, path) = Program::command(config);
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        while !line.contains("listening") {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened");
+        }
+        let at = line.split("at: ").nth(1).and_then(|rest| rest.split(',').next()).unwrap();
+        let address = at.parse().unwrap();
+        Program { child, address, log: Some(log), config: path }
+    }
+
+    /// With one cache and a journal service that says nothing more.
+    pub fn simple(cache: &Cache) -> (Program, Journal) {
+        let journal = Journal::start();
+        (Program::start(&config(&[("s-a", cache.address)], journal.address)), journal)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(status.success());
+    }
+
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// A new configuration: written beside, then put in place, as platforms do.
+    pub fn reload(&self, text: &str) {
+        let beside = self.config.with_extension("new");
+        std::fs::write(&beside, text).unwrap();
+        std::fs::rename(&beside, &self.config).unwrap();
+        self.signal("-HUP");
+    }
+
+    pub fn alive(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
