The front asks the door before the decisions; sub-commands, settings file, metrics, demo

Need: crates/turns decided who is next, and nobody asked it. Each lookup read now goes to the door first: let in it goes to the module as before, waiting it stays with the front and counts against nobody, turned away it is nacked at once (no send was made, so that holds for any class) with the time of a booked turn. The two bounds that stood in the front (lookups, bytes) are the door's. Without a settings file the order is first come, first served, as it was.

With it come sub-commands by clap (serve, check, turns, metrics, demo; none serves), the settings file in protobuf text format read again on SIGHUP all or nothing, the log as text or JSON, metrics on prometheus-client read over a local socket, and the same report in the log on SIGUSR1 or at an interval.

--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -2,11 +2,13 @@
 
 use meadowrill_core::door;
 use meadowrill_core::interface::{Micros, Settings};
+use meadowrill_settings as own;
+use meadowrill_turns::cost::Kind;
 use serde_json::Value;
 use slog::Level;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::Arc;
 
@@ -17,6 +19,8 @@
 const CONN_IDLE: f64 = 15.0;
 const LONGEST: f64 = 10.0;
 const MAX_OPEN: f64 = 20_000.0;
+/// Our own settings, where no other file is named; they may be missing.
+const OWN: &str = "deploy/meadowrill.textproto";
 /// Descriptors that belong to no connection: standard streams, listener, poller, signals, journal, log.
 const SPARE: usize = 24;
 
@@ -53,6 +57,10 @@
 #[derive(Debug)]
 pub struct Config {
     path: PathBuf,
+    /// Where our own settings were named to be.
+    own_path: Option<PathBuf>,
+    /// Our own settings.
+    pub own: own::Settings,
     /// As it was read, to tell what a later one changes.
     text: Value,
     pub name: String,
@@ -74,6 +82,8 @@
     pub conn_idle: Micros,
     /// The longest that a client waits.
     pub longest: Micros,
+    /// The longest that a client may be told to stay away; 0 where it may be told nothing.
+    pub longest_away: Micros,
     /// Ceilings: connections of each side, lookups, bytes in rings.
     pub clients: usize,
     pub caches: usize,
@@ -86,6 +96,8 @@
 pub struct Class {
     pub name: String,
     pub deadline_ms: f64,
+    /// What the door needs to know of it.
+    pub door: Kind,
     /// Its lookups carry a mark against repeats.
     pub keyed: bool,
 }
@@ -165,16 +177,29 @@
     }
 }
 
+/// Our own settings: a file that is named must be there.
+fn read_own(path: Option<&Path>) -> Result<own::Settings, Faulty> {
+    let path = match path {
+        Some(path) => path,
+        None if Path::new(OWN).exists() => Path::new(OWN),
+        None => return Ok(own::Settings::default()),
+    };
+    let text = std::fs::read_to_string(path);
+    let text = text.map_err(|e| faulty("settings file", format!("{}: {e}", path.display())))?;
+    own::read(&text).map_err(|f| faulty(f.key, format!("{}, line {}: {}", path.display(), f.line, f.what)))
+}
+
 impl Config {
-    pub fn load(path: PathBuf) -> Result<Config, Faulty> {
+    pub fn load(path: PathBuf, own_path: Option<PathBuf>) -> Result<Config, Faulty> {
         let text = std::fs::read_to_string(&path);
         let text = text.map_err(|e| faulty("BALANCER_CONFIG", format!("{}: {e}", path.display())))?;
-        Ok(Config { path, ..Config::read(&text, |name| std::env::var(name).ok())? })
+        let own = read_own(own_path.as_deref())?;
+        Ok(Config { path, own_path, own, ..Config::read(&text, |name| std::env::var(name).ok())? })
     }
 
-    /// The file as it stands now, checked as at the start.
+    /// The files as they stand now, checked as at the start.
     pub fn again(&self) -> Result<Config, Faulty> {
-        Config::load(self.path.clone())
+        Config::load(self.path.clone(), self.own_path.clone())
     }
 
     /// Takes over what may change while the front runs; the keys of what else has changed are returned.
@@ -182,8 +207,17 @@
     pub fn renew(&mut self, fresh: Config) -> Vec<&'static str> {
         self.journal = fresh.journal;
         self.log.0.store(fresh.log.0.load(Relaxed), Relaxed);
+        let own = std::mem::replace(&mut self.own, fresh.own);
+        let mut later = Vec::new();
+        if own.log != self.own.log {
+            later.push("log.form");
+        }
+        if own.socket != self.own.socket {
+            later.push("operators.socket");
+        }
         let fixed = ["name", "listen", "seed", "limits", "settings", "flow_bytes_per_s", "link_bytes_per_s"];
-        fixed.into_iter().filter(|key| self.text.get(key) != fresh.text.get(key)).collect()
+        later.extend(fixed.into_iter().filter(|key| self.text.get(key) != fresh.text.get(key)));
+        later
     }
 
     /// From the text of the configuration; name and address from the environment where it tells none.
@@ -218,7 +252,12 @@
             let class = Node { value: class, path: format!("settings.classes.{at}") };
             let deadline_ms = class.get("deadline_s").number(LONGEST, 0.001)? * 1e3;
             let keyed = class.get("repeat").value.is_some_and(|repeat| repeat == "keyed");
-            Ok(Class { name, deadline_ms, keyed })
+            let door = Kind {
+                worth: class.get("worth").number(1.0, 0.0)?,
+                budget: door::micros(class.get("goal_time_s").number(1.0, 0.0)?),
+                stretch: class.get("aim_stretch").number(0.0, 0.0)?,
+            };
+            Ok(Class { name, deadline_ms, door, keyed })
         };
         let classes = classes.into_iter().enumerate().map(class).collect::<Result<Vec<_>, _>>()?;
         let longest = classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
@@ -239,8 +278,13 @@
                 Some(Some(level)) => level,
                 Some(None) => return Err(faulty("log", "is no level: error, warning, info or debug")),
             };
+        let advises = bounds.get("retry_after").value.is_some_and(|told| told == true);
+        let longest_away = bounds.get("max_retry_after_s").number(0.0, 0.0)?;
         Ok(Config {
             path: PathBuf::new(),
+            own_path: None,
+            own: own::Settings::default(),
+            longest_away: if advises { door::micros(longest_away) } else { 0 },
             name,
             log: Shown::new(log),
             listen: address("listen", "BALANCER_LISTEN")?,
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -7,16 +7,22 @@
 use crate::net::caches::{report, Answered, Caches, Ended, Out};
 use crate::net::clients::{Clients, Heard};
 use crate::net::journal::{self, Change, Journal, Member, News};
+use crate::net::operators::Operators;
 use crate::net::{Cause, Fault, Gathered, Key, Poll, Reach};
+use crate::report::{self, Metrics};
 use calloop::{EventLoop, Readiness, RegistrationToken};
 use meadowrill_core::control;
 use meadowrill_core::door::{contained, remark, stable, Indices};
 use meadowrill_core::interface::*;
+use meadowrill_turns::door::{Away, Bounds, Done, Door, Offer, Ticket, Turn, Verdict};
+use meadowrill_turns::names::{Names, Seen};
+use meadowrill_turns::plan::{ClientBy, Plan};
 use slog::{debug, error, info, warn, Logger};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::path::Path;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Housekeeping: idle and stuck connections, the journal service.
@@ -53,6 +59,8 @@
     Send(u64, u64),
     Connect(u64, u64),
     Tick,
+    /// What operators want to see regularly.
+    Report,
     /// The front is ending: no more comes in from here on, and it may be done.
     Part,
 }
@@ -61,9 +69,13 @@
 struct Taken {
     client: u64,
     stream: u32,
-    request: frame::Request,
+    request: Box<frame::Request>,
+    kind: usize,
     expires: Micros,
     owed: bool,
+    /// Its place at the door or behind it, until it was answered or has left.
+    place: Option<Ticket>,
+    done: Done,
     /// By the number of the send: the connection and the serial, while it is out.
     sends: Vec<Option<(u64, u64)>>,
 }
@@ -78,6 +90,10 @@
     /// Connections may be waiting to be accepted.
     knocking: bool,
     clients: Clients,
+    door: Door,
+    names: Names,
+    metrics: Metrics,
+    operators: Option<Operators>,
     caches: Caches,
     journal: Journal,
     machines: Indices<String>,
@@ -113,12 +129,20 @@
         let mut actions = Vec::new();
         let module = control::Front::start(config.seed, config.settings.clone(), now, &mut actions);
         let last = config.known["pos"].as_u64().unwrap_or(0);
+        let kinds: Vec<_> = config.classes.iter().map(|class| class.door).collect();
+        let bounds =
+            Bounds { lookups: config.lookups, bytes: config.buffers, longest_away: config.longest_away };
+        let operators = config.own.socket.as_ref().map(|path| Operators::listen(Path::new(path), &poll));
         let mut front = Front {
             module,
             poll,
             listener: Some((listener, token)),
             knocking: true,
             clients: Clients::new(config.clients, config.longest),
+            door: Door::new(config.own.turns.clone(), &kinds, bounds, config.seed, now),
+            names: Names::new(&config.own.turns, config.seed),
+            metrics: Metrics::default(),
+            operators: operators.transpose()?,
             caches: Caches::new(config.caches, config.conn_idle),
             journal: Journal::new(config.journal, last),
             machines: Indices::default(),
@@ -139,6 +163,7 @@
         front.know(now);
         front.hand_over(now, actions);
         front.timers.push(Reverse((now, Timer::Tick)));
+        front.follow_plan(now);
         Ok(front)
     }
 
@@ -156,7 +181,9 @@
     pub fn run(&mut self, events: &mut EventLoop<'static, Gathered>) -> io::Result<()> {
         let mut gathered = Vec::new();
         while !self.ended() {
-            let next = self.timers.peek().map_or(TICK, |Reverse((at, _))| at - self.clock.now());
+            let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+            let next = [timer, self.door.next()].into_iter().flatten().min();
+            let next = next.map_or(TICK, |at| at - self.clock.now());
             let at_once = !self.events.is_empty() || !self.over.is_empty() || self.clients.waits();
             let pause = if at_once { 0 } else { next.max(0) as u64 };
             events.dispatch(Some(Duration::from_micros(pause)), &mut gathered).map_err(io::Error::other)?;
@@ -197,7 +224,10 @@
                     Key::Client(number) => self.clients.drop(number, &self.poll),
                     Key::Cache(number) => self.caches.panicked(number, &self.poll),
                     Key::Journal(_) => self.journal.lose("panic", &self.poll, &mut Vec::new()),
-                    Key::Door | Key::Reload | Key::Signal => {}
+                    Key::Operator(number) => {
+                        self.operators.iter_mut().for_each(|o| o.drop(number, &self.poll))
+                    }
+                    Key::Door | Key::Operators | Key::Reload | Key::Report | Key::Signal => {}
                 }
             }
         }
@@ -206,6 +236,7 @@
             self.ring(now);
             self.admit(now);
             self.hear(now);
+            self.turns(now);
         });
         if let Err(panic) = rest {
             error!(self.log, "panic in a round"; "text" => panic);
@@ -222,6 +253,17 @@
             }
             Key::Signal => {}
             Key::Reload => self.reload(now),
+            Key::Report => report::log(&self.log, &self.door.report()),
+            Key::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.poll)),
+            Key::Operator(number) => {
+                let (door, metrics) = (&self.door, &self.metrics);
+                let tell = |word: &str| match word {
+                    "turns" => report::table(&door.report()),
+                    "metrics" => metrics.text(door),
+                    _ => "turns or metrics\n".to_string(),
+                };
+                self.operators.iter_mut().for_each(|o| o.handle(number, &self.poll, tell));
+            }
             Key::Journal(_) => {
                 self.follow(now, |journal, poll, news| journal.handle(key, ready, now, poll, news));
             }
@@ -252,14 +294,34 @@
                     "what" => &faulty.what);
             }
         };
+        let former = self.config.own.turns.clone();
         for key in self.config.renew(fresh) {
             warn!(self.log, "takes effect at the next start only"; "key" => key);
         }
         info!(self.log, "configuration read again"; "journal" => %self.config.journal);
+        if former != self.config.own.turns {
+            info!(self.log, "door renewed"; "waiting" => self.door.waiting(), "open" => self.door.open());
+            self.door.renew(now, self.config.own.turns.clone());
+            self.names = Names::new(&self.config.own.turns, self.config.seed);
+        }
+        self.follow_plan(now);
         let address = self.config.journal;
         self.follow(now, |journal, poll, news| journal.move_to(address, now, poll, news));
     }
 
+    /// What else the settings of the door and of operators ask for.
+    fn follow_plan(&mut self, now: Micros) {
+        let Plan { tenant_field, client_by, .. } = &self.config.own.turns;
+        let desk = match client_by {
+            ClientBy::Field(name) => Some(name.clone()),
+            ClientBy::Address | ClientBy::Connection => None,
+        };
+        self.clients.who = frame::Who { tenant: tenant_field.clone(), desk };
+        let again = self.config.own.report_every.map(|every| now + (every * 1e6) as Micros);
+        self.timers.retain(|Reverse((_, timer))| *timer != Timer::Report);
+        self.timers.extend(again.map(|at| Reverse((at, Timer::Report))));
+    }
+
     /// One step with the journal service, and what it told.
     fn follow(&mut self, now: Micros, step: impl FnOnce(&mut Journal, &mut Poll, &mut Vec<News>)) {
         let mut news = Vec::new();
@@ -351,6 +413,9 @@
                 outcome.size_kb = body.len() as f64 * self.config.kb_per_byte;
                 outcome.report = report(&head.load, &self.config.reports);
                 if ending == Ending::Satisfied {
+                    // What carries no note came from a machine that does not tell; it counts as one that had it.
+                    let hit = matches!(outcome.remark, Remark::Hit | Remark::None);
+                    taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb };
                     let current = head.status == 304;
                     let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
                     self.answer(out.lookup, (frame::SATISFIED, fields, body), now);
@@ -365,6 +430,9 @@
     fn answer(&mut self, lookup: u32, answer: (u8, &[(&str, &str)], &[u8]), now: Micros) {
         let Some(taken) = self.lookups.get_mut(&lookup).filter(|t| t.owed) else { return };
         taken.owed = false;
+        if let Some(place) = taken.place.take() {
+            self.door.ended(now, place, taken.done);
+        }
         self.clients.answer((taken.client, taken.stream, lookup), answer, now, &self.poll);
         self.settle(lookup);
     }
@@ -398,6 +466,10 @@
                     }
                 }
                 Timer::Tick => self.tick(now),
+                Timer::Report => {
+                    report::log(&self.log, &self.door.report());
+                    self.follow_plan(now);
+                }
                 Timer::Part => self.part(now),
             }
         }
@@ -425,8 +497,8 @@
         while self.knocking && self.clients.room(now, &mut self.poll) {
             let Some((listener, _)) = &self.listener else { return };
             match listener.accept() {
-                Ok((stream, _)) => {
-                    if let Err(e) = self.clients.accept(stream, now, &mut self.poll) {
+                Ok((stream, from)) => {
+                    if let Err(e) = self.clients.accept(stream, from.ip(), now, &mut self.poll) {
                         warn!(self.log, "client not taken in"; "error" => %e);
                     }
                 }
@@ -450,40 +522,110 @@
                 Heard::Left { lookup } => {
                     if let Some(taken) = self.lookups.get_mut(&lookup) {
                         taken.owed = false;
-                        self.events.push(Event::Left { id: lookup });
+                        let waited = taken.place.take().is_some_and(|place| self.door.left(now, place));
+                        if !waited {
+                            self.events.push(Event::Left { id: lookup });
+                        }
                         self.settle(lookup);
                     }
                 }
-                Heard::Asked { lookup, client, stream, request } => {
-                    self.take(lookup, client, stream, request, now);
+                Heard::Asked { lookup, client, from, stream, request } => {
+                    self.take(lookup, (client, from), stream, request, now);
                 }
             }
         }
     }
 
-    fn take(&mut self, lookup: u32, client: u64, stream: u32, request: frame::Request, now: Micros) {
+    fn take(
+        &mut self,
+        lookup: u32,
+        (client, from): (u64, IpAddr),
+        stream: u32,
+        request: Box<frame::Request>,
+        now: Micros,
+    ) {
         let expires = now + (request.limit_ms * 1e3) as Micros;
         let held = self.poll.tally.bytes() + self.bodies + request.body.len();
-        let full = held > self.config.buffers || self.lookups.len() >= self.config.lookups;
         let usable = self.usable(&request);
         self.bodies += request.body.len();
-        let (object, part, group, size_kb) = (request.object, request.slice, request.set, request.size_kb);
         if usable.is_ok() {
             self.named.insert(request.id, lookup);
         }
-        let taken = Taken { client, stream, request, expires, owed: true, sends: Vec::new() };
+        let seen = Seen {
+            address: from,
+            connection: client,
+            tenant_field: request.tenant.as_deref(),
+            client_field: request.desk.as_deref(),
+        };
+        let (asker, kind) = (self.names.asker(seen), usable.unwrap_or(0));
+        let (size_kb, bytes) = (request.size_kb, request.body.len() as u32);
+        let (sends, done) = (Vec::new(), Done::default());
+        let taken = Taken { client, stream, request, kind, expires, owed: true, place: None, done, sends };
         self.lookups.insert(lookup, taken);
-        match usable {
-            Err(what) => {
-                debug!(self.log, "lookup unusable"; "client" => client, "why" => what);
-                self.answer(lookup, (frame::FAILED, &[], &[]), now);
-                self.clients.blame(client, now, &self.poll);
-            }
-            // No send was made, so to try again is harmless whatever the class.
-            Ok(_) if full => self.answer(lookup, (frame::NACKED, &[], &[]), now),
-            Ok(kind) => {
-                let asked = Lookup { id: lookup, object, part, size_kb, group, kind, expires };
-                self.events.push(Event::Asked(asked));
+        if let Err(what) = usable {
+            debug!(self.log, "lookup unusable"; "client" => client, "why" => what);
+            self.answer(lookup, (frame::FAILED, &[], &[]), now);
+            self.clients.blame(client, now, &self.poll);
+            return;
+        }
+        let (verdict, place) =
+            match self.door.offer(now, Offer { id: lookup, asker, kind, size_kb, bytes, expires }, held) {
+                Verdict::In(place) => (Ok(true), Some(place)),
+                Verdict::Waits(place) => (Ok(false), Some(place)),
+                Verdict::Away(away) => (Err(away), None),
+            };
+        if let Some(taken) = self.lookups.get_mut(&lookup) {
+            taken.place = place;
+        }
+        match verdict {
+            Ok(true) => self.ask(lookup),
+            Ok(false) => {}
+            Err(away) => self.turn_away(lookup, away, now),
+        }
+    }
+
+    /// Hands a lookup to the decisions.
+    fn ask(&mut self, lookup: u32) {
+        let Some(Taken { request, kind, expires, .. }) = self.lookups.get(&lookup) else { return };
+        let (object, part, group, size_kb) = (request.object, request.slice, request.set, request.size_kb);
+        let asked = Lookup { id: lookup, object, part, size_kb, group, kind: *kind, expires: *expires };
+        self.events.push(Event::Asked(asked));
+    }
+
+    /// No send was made, so to try again is harmless whatever the class.
+    fn turn_away(&mut self, lookup: u32, away: Away, now: Micros) {
+        if let Some(taken) = self.lookups.get(&lookup) {
+            debug!(self.log, "turned away"; "lookup" => &taken.request.txn, "client" => taken.client,
+                "why" => %away.why, "come_back_ms" => away.come_back / 1000, "booked" => away.booked);
+        }
+        self.nack(lookup, away.come_back, now);
+    }
+
+    fn nack(&mut self, lookup: u32, come_back: Micros, now: Micros) {
+        let later = (come_back / 1000).to_string();
+        let fields: &[(&str, &str)] = if come_back >= 1000 { &[("later", &later)] } else { &[] };
+        self.answer(lookup, (frame::NACKED, fields, &[]), now);
+    }
+
+    /// Whose wait at the door is over.
+    fn turns(&mut self, now: Micros) {
+        let mut turns = Vec::new();
+        self.door.turns(now, &mut turns);
+        for turn in turns {
+            match turn {
+                Turn::In { id, tenant, waited } => {
+                    let names = &self.door.plan().tenants;
+                    self.metrics
+                        .waited(names.get(usize::from(tenant)).map_or("", |t| &t.name), waited as f64 / 1e6);
+                    debug!(self.log, "waited"; "lookup" => id, "us" => waited);
+                    self.ask(id);
+                }
+                Turn::Away { id, away } => {
+                    if let Some(taken) = self.lookups.get_mut(&id) {
+                        taken.place = None;
+                    }
+                    self.turn_away(id, away, now);
+                }
             }
         }
     }
@@ -542,16 +684,14 @@
         self.ends(now);
         over.into_iter().for_each(|lookup| self.forget(lookup));
         self.hear(now);
+        // Places that have come free are given on at once.
+        self.turns(now);
     }
 
     fn carry_out(&mut self, action: Action, now: Micros) {
         match action {
             Action::Send { id, peer, time_out, fill } => self.send(id, peer, time_out, fill, now),
-            Action::Nack { id, come_back } => {
-                let later = (come_back / 1000).to_string();
-                let fields: &[(&str, &str)] = if come_back >= 1000 { &[("later", &later)] } else { &[] };
-                self.answer(id, (frame::NACKED, fields, &[]), now);
-            }
+            Action::Nack { id, come_back } => self.nack(id, come_back, now),
             Action::Fail { id } => self.answer(id, (frame::FAILED, &[], &[]), now),
             Action::Cancel { id, send } => {
                 let out =
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,18 +1,27 @@
-//! meadowrill on sockets: start and log. What it is told stands in the file that `BALANCER_CONFIG` names.
+//! meadowrill on sockets: start and log. What it is told stands in the file that `BALANCER_CONFIG` names, and in our
+//! own settings beside it.
 
+mod cli;
 mod config;
 mod frame;
 mod front;
 mod http;
 mod net;
+mod report;
 mod ring;
 
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Readiness};
+use clap::Parser;
+use cli::{Cli, Command};
 use config::Config;
+use meadowrill_settings::Form;
+use meadowrill_standins::demo;
 use slog::{crit, error, info, o, Drain, Filter, Logger};
 use std::net::TcpListener;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Mutex;
 use std::time::Duration;
 
 /// Lines that wait for a reader of the log; what goes beyond is dropped and counted.
@@ -24,26 +33,41 @@
 
 /// Serving runs on one thread and must not wait for whoever reads the log, so the log has one of its own.
 fn log(config: &Config) -> (Logger, slog_async::AsyncGuard) {
-    let plain = slog_term::PlainDecorator::new(std::io::stderr());
-    let lines = slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res();
-    let (drain, guard) = slog_async::Async::new(lines)
-        .chan_size(WAITING)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build_with_guard();
-    // A log that cannot be written is no reason to end.
     let level = config.log.clone();
+    // A log that cannot be written is no reason to end.
+    let (drain, guard) = match config.own.log {
+        Form::Text => {
+            let plain = slog_term::PlainDecorator::new(std::io::stderr());
+            queued(slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res())
+        }
+        Form::Json => queued(Mutex::new(slog_json::Json::default(std::io::stderr())).ignore_res()),
+    };
     let drain = Filter::new(drain, move |line| level.shows(line.level())).ignore_res();
     (Logger::root(drain, o!("front" => config.name.clone())), guard)
 }
 
+fn queued<D>(lines: D) -> (slog_async::Async, slog_async::AsyncGuard)
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(lines)
+        .chan_size(WAITING)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
+
 fn serve(config: Config) -> Result<(), String> {
     let mut poll = EventLoop::try_new().map_err(|e| format!("poller: {e}"))?;
     // Before the log's thread starts, so that it leaves these signals to the loop as well.
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP])
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
         .map_err(|e| format!("signals: {e}"))?;
     let told = |event: calloop::signals::Event, _: &mut (), gathered: &mut net::Gathered| {
-        let reload = event.signal() == Signal::SIGHUP;
-        gathered.push((if reload { net::Key::Reload } else { net::Key::Signal }, Readiness::EMPTY));
+        let key = match event.signal() {
+            Signal::SIGHUP => net::Key::Reload,
+            Signal::SIGUSR1 => net::Key::Report,
+            _ => net::Key::Signal,
+        };
+        gathered.push((key, Readiness::EMPTY));
     };
     poll.handle().insert_source(signals, told).map_err(|e| format!("signals: {e}"))?;
     let (log, guard) = log(&config);
@@ -73,12 +97,24 @@
     ended
 }
 
+fn start(settings: Option<PathBuf>) -> Result<(), String> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: is not set".to_string())?;
+    let config = Config::load(path.into(), settings).map_err(|faulty| faulty.to_string())?;
+    serve(config)
+}
+
 fn main() -> ExitCode {
-    let config = match std::env::var("BALANCER_CONFIG").ok() {
-        None => Err("BALANCER_CONFIG: is not set".to_string()),
-        Some(path) => Config::load(path.into()).map_err(|faulty| faulty.to_string()),
+    let done = match Cli::parse().command {
+        None => start(None),
+        Some(Command::Serve { settings }) => start(settings),
+        Some(Command::Check { file }) => {
+            cli::check(&file).map(|kind| println!("{}: good {kind}", file.display()))
+        }
+        Some(Command::Turns { socket }) => cli::operator(&socket, "turns").map(|text| print!("{text}")),
+        Some(Command::Metrics { socket }) => cli::operator(&socket, "metrics").map(|text| print!("{text}")),
+        Some(Command::Demo { seconds }) => demo::run(seconds),
     };
-    match config.and_then(serve) {
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("meadowrill: {what}");
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -1,12 +1,12 @@
 //! Clients: frames in, lookups out, and never a second answer on a stream.
 
 use super::{Key, Link, Poll};
-use crate::frame::{self, Frame, Request};
+use crate::frame::{self, Frame, Request, Who};
 use calloop::Readiness;
 use meadowrill_core::interface::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::TcpStream;
+use std::net::{IpAddr, TcpStream};
 
 /// Lookups that a connection may have open, and so what its ring may have to hold.
 const OPEN: usize = 32;
@@ -29,8 +29,9 @@
     Asked {
         lookup: u32,
         client: u64,
+        from: IpAddr,
         stream: u32,
-        request: Request,
+        request: Box<Request>,
     },
     /// Nobody waits any more.
     Left {
@@ -45,6 +46,7 @@
 
 struct Client {
     link: Link,
+    from: IpAddr,
     last_stream: u32,
     open: BTreeMap<u32, u32>,
     /// Nothing more is heard: the peer has ended its side, or no frame can be found any more.
@@ -111,6 +113,13 @@
     }
 }
 
+/// What a connection is read with.
+struct Says<'a> {
+    number: u64,
+    ready: bool,
+    who: &'a Who,
+}
+
 pub struct Clients {
     conns: BTreeMap<u64, Client>,
     /// Those with more to read than a round takes.
@@ -121,13 +130,25 @@
     /// Whether the front says that it is ready.
     pub ready: bool,
     parting: bool,
+    /// Fields that tell who asks.
+    pub who: Who,
     heard: Vec<Heard>,
 }
 
 impl Clients {
     pub fn new(most: usize, patience: Micros) -> Clients {
         let (conns, more, heard) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
-        Clients { conns, more, most, patience, lookups: 0, ready: true, parting: false, heard }
+        Clients {
+            conns,
+            more,
+            most,
+            patience,
+            lookups: 0,
+            ready: true,
+            parting: false,
+            who: Who::default(),
+            heard,
+        }
     }
 
     /// What was heard since the last call.
@@ -174,11 +195,18 @@
         self.conns.is_empty()
     }
 
-    pub fn accept(&mut self, stream: TcpStream, now: Micros, poll: &mut Poll) -> io::Result<()> {
+    pub fn accept(
+        &mut self,
+        stream: TcpStream,
+        from: IpAddr,
+        now: Micros,
+        poll: &mut Poll,
+    ) -> io::Result<()> {
         let number = poll.key();
         let link = poll.link(stream, Key::Client(number), MOST)?;
         let client = Client {
             link,
+            from,
             last_stream: 0,
             open: BTreeMap::new(),
             deaf: false,
@@ -197,8 +225,8 @@
     pub fn handle(&mut self, number: u64, ready: Readiness, now: Micros, poll: &mut Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
         client.link.heard(ready);
-        let (lookups, heard) = (&mut self.lookups, &mut self.heard);
-        let done = Clients::read(client, number, self.ready, lookups, heard, now, poll);
+        let says = Says { number, ready: self.ready, who: &self.who };
+        let done = Clients::read(client, says, &mut self.lookups, &mut self.heard, now, poll);
         if matches!(done, Ok(true)) {
             self.more.insert(number);
         }
@@ -208,8 +236,7 @@
     /// Takes one turn at what has come; true where there is more.
     fn read(
         client: &mut Client,
-        number: u64,
-        ready: bool,
+        Says { number, ready, who }: Says<'_>,
         lookups: &mut u32,
         heard: &mut Vec<Heard>,
         now: Micros,
@@ -239,11 +266,13 @@
             let size = frame::HEAD + payload.len();
             let new = stream > client.last_stream;
             let bad = match kind {
-                frame::ASK if new && client.open.len() < OPEN => match frame::request(payload) {
+                frame::ASK if new && client.open.len() < OPEN => match frame::request(payload, who) {
                     Ok(request) => {
                         *lookups = lookups.wrapping_add(1).max(1);
                         client.open.insert(stream, *lookups);
-                        heard.push(Heard::Asked { lookup: *lookups, client: number, stream, request });
+                        let from = client.from;
+                        let request = Box::new(request);
+                        heard.push(Heard::Asked { lookup: *lookups, client: number, from, stream, request });
                         None
                     }
                     Err(fault) => Some(fault),
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod caches;
 pub mod clients;
 pub mod journal;
+pub mod operators;
 
 use crate::http;
 use crate::ring::{Ring, Tally};
@@ -26,7 +27,12 @@
     Cache(u64),
     Client(u64),
     Door,
+    /// The operators' socket, and one that asks there.
+    Operators,
+    Operator(u64),
     Reload,
+    /// An operator wants the report in the log.
+    Report,
     Signal,
 }
 
--- /dev/null
+++ b/crates/front/src/report.rs
@@ -0,0 +1,195 @@
+//! What operators are told of the door: a table, lines for the log, and metrics. Names in them are bounded: tenants
+//! are those of the settings, clients the loudest few of each.
+
+use meadowrill_turns::door::{Door, Report, Why};
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+use slog::{info, Logger};
+use std::fmt::{self, Write};
+
+/// Clients of a tenant that are named.
+const NAMED: usize = 4;
+
+type Labels = Vec<(String, String)>;
+
+pub struct Metrics {
+    waits: Family<Labels, Histogram>,
+}
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        // From half a millisecond to two seconds.
+        let histogram: fn() -> Histogram = || Histogram::new(exponential_buckets(0.0005, 2.0, 13));
+        Metrics { waits: Family::new_with_constructor(histogram) }
+    }
+}
+
+impl Metrics {
+    pub fn waited(&self, tenant: &str, seconds: f64) {
+        self.waits.get_or_create(&vec![("tenant".into(), tenant.into())]).observe(seconds);
+    }
+
+    /// In the text format that scrapers read.
+    pub fn text(&self, door: &Door) -> String {
+        let mut registry = Registry::with_prefix("meadowrill_door");
+        registry.register(
+            "wait_seconds",
+            "Time that lookups waited before they were let in",
+            self.waits.clone(),
+        );
+        registry.register_collector(Box::new(Seen(door.report())));
+        let mut text = String::new();
+        match encode(&mut text, &registry) {
+            Ok(()) => text,
+            Err(e) => format!("# {e}\n"),
+        }
+    }
+}
+
+/// The door's own counts, read when somebody asks: nothing is counted twice.
+#[derive(Debug)]
+struct Seen(Report);
+
+impl Collector for Seen {
+    fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), fmt::Error> {
+        let report = &self.0;
+        let mut gauge = |name: &str, help: &str, values: Vec<(Labels, f64)>| {
+            let mut metric =
+                encoder.encode_descriptor(name, help, None, prometheus_client::metrics::MetricType::Gauge)?;
+            values
+                .iter()
+                .try_for_each(|(labels, value)| ConstGauge::new(*value).encode(metric.encode_family(labels)?))
+        };
+        let tenant = |name: &str| vec![("tenant".to_string(), name.to_string())];
+        let all = |value: f64| vec![(Labels::new(), value)];
+        gauge("limit", "Lookups that may be inside", all(report.limit))?;
+        gauge("overdue", "Lookups inside that no longer count", all(report.overdue as f64))?;
+        gauge("booked", "Turns that are booked", all(report.booked as f64))?;
+        let of = |value: fn(&meadowrill_turns::door::Holding) -> f64| {
+            report.tenants.iter().map(|t| (tenant(&t.name), value(t))).collect::<Vec<_>>()
+        };
+        gauge("waiting", "Lookups that wait", of(|t| f64::from(t.waiting)))?;
+        gauge("inside", "Lookups that are inside", of(|t| f64::from(t.inside)))?;
+        let talkers = report.tenants.iter().flat_map(|t| {
+            let named = |talker: &meadowrill_turns::fair::Talker| {
+                let client = ("client".to_string(), talker.address.to_string());
+                ([tenant(&t.name), vec![client]].concat(), f64::from(talker.heard))
+            };
+            t.loudest.iter().take(NAMED).map(named).collect::<Vec<_>>()
+        });
+        gauge("heard", "Recent lookups of the loudest clients", talkers.collect())?;
+        let mut counter = |name: &str, help: &str, values: Vec<(Labels, u64)>| {
+            let mut metric = encoder.encode_descriptor(
+                name,
+                help,
+                None,
+                prometheus_client::metrics::MetricType::Counter,
+            )?;
+            values.iter().try_for_each(|(labels, value)| {
+                ConstCounter::new(*value).encode(metric.encode_family(labels)?)
+            })
+        };
+        let of = |value: fn(&meadowrill_turns::door::Tally) -> u64| {
+            report.tenants.iter().map(|t| (tenant(&t.name), value(&t.tally))).collect::<Vec<_>>()
+        };
+        counter("offered", "Lookups read", of(|t| t.offered))?;
+        counter("let_in", "Lookups let in", of(|t| t.let_in))?;
+        counter("waited", "Lookups that had to wait", of(|t| t.waited))?;
+        counter("satisfied", "Lookups satisfied", of(|t| t.satisfied))?;
+        counter("told_a_turn", "Lookups turned away with a booked turn", of(|t| t.booked))?;
+        let away = report.tenants.iter().flat_map(|t| {
+            Why::ALL.into_iter().zip(t.tally.away).map(|(why, count)| {
+                let why = ("why".to_string(), why.to_string());
+                ([tenant(&t.name), vec![why]].concat(), count)
+            })
+        });
+        counter("turned_away", "Lookups turned away", away.collect())?;
+        let bookings = [("kept", report.kept), ("missed", report.missed), ("none", report.unbooked)];
+        let bookings = bookings.map(|(what, n)| (vec![("outcome".to_string(), what.to_string())], n));
+        counter("bookings", "Booked turns by what became of them", bookings.to_vec())
+    }
+}
+
+/// Who holds the door, for an operator to read.
+pub fn table(report: &Report) -> String {
+    let mut text = String::new();
+    let head = format!(
+        "order {:?}, inside {} of {:.0} ({} overdue), waiting {}, booked {} (kept {}, missed {}, no place {})\n",
+        report.order,
+        report.inside,
+        report.limit,
+        report.overdue,
+        report.waiting,
+        report.booked,
+        report.kept,
+        report.missed,
+        report.unbooked
+    );
+    text.push_str(&head);
+    let names = [
+        "tenant",
+        "weight",
+        "waiting",
+        "inside",
+        "offered",
+        "let in",
+        "satisfied",
+        "turned away",
+        "with a turn",
+    ];
+    let row = |text: &mut String, cells: &[String]| {
+        let line =
+            cells
+                .iter()
+                .enumerate()
+                .map(|(at, c)| if at == 0 { format!("{c:<20}") } else { format!("{c:>12}") });
+        text.push_str(line.collect::<String>().trim_end());
+        text.push('\n');
+    };
+    row(&mut text, &names.map(String::from));
+    for t in &report.tenants {
+        let away: u64 = t.tally.away.iter().sum();
+        let cells = [
+            t.name.clone(),
+            t.weight.to_string(),
+            t.waiting.to_string(),
+            t.inside.to_string(),
+            t.tally.offered.to_string(),
+            t.tally.let_in.to_string(),
+            t.tally.satisfied.to_string(),
+            away.to_string(),
+            t.tally.booked.to_string(),
+        ];
+        row(&mut text, &cells);
+        for c in t.loudest.iter().take(NAMED) {
+            // Writing to a text cannot fail.
+            let _ = writeln!(
+                text,
+                "  {:<18}heard {}, waiting {}, inside {}, booked {}",
+                c.address, c.heard, c.waiting, c.inside, c.booked
+            );
+        }
+    }
+    text
+}
+
+/// The same as lines of the log, one a tenant.
+pub fn log(log: &Logger, report: &Report) {
+    info!(log, "door"; "order" => ?report.order, "limit" => report.limit.round(), "inside" => report.inside,
+        "overdue" => report.overdue, "waiting" => report.waiting, "booked" => report.booked,
+        "kept" => report.kept, "missed" => report.missed, "unbooked" => report.unbooked);
+    for t in &report.tenants {
+        let loudest = t.loudest.iter().take(NAMED).map(|c| format!("{}:{}", c.address, c.heard));
+        let away = Why::ALL.into_iter().zip(t.tally.away).filter(|(_, n)| *n > 0);
+        info!(log, "door, tenant"; "name" => &t.name, "waiting" => t.waiting, "inside" => t.inside,
+            "offered" => t.tally.offered, "let_in" => t.tally.let_in, "satisfied" => t.tally.satisfied,
+            "turned_away" => away.map(|(why, n)| format!("{why}:{n}")).collect::<Vec<_>>().join(" "),
+            "loudest" => loudest.collect::<Vec<_>>().join(" "));
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod cache;
 pub mod client;
+pub mod demo;
 pub mod journal;
 pub mod load;
 pub mod program;
@@ -12,7 +13,7 @@
 pub use cache::{header, ok, says, Cache, Does, Seen};
 pub use client::{ask, fields, frame, Client, Frame};
 pub use journal::Journal;
-pub use program::{config, member, Program};
+pub use program::{config, member, Program, Site};
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/crates/turns/src/door.rs
+++ b/crates/turns/src/door.rs
@@ -98,7 +98,7 @@
 /// What became of one that waited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
-    In { id: u32, waited: Micros },
+    In { id: u32, tenant: u16, waited: Micros },
     Away { id: u32, away: Away },
 }
 
@@ -206,9 +206,10 @@
     /// `plan` must have been checked.
     pub fn new(plan: Plan, kinds: &[Kind], bounds: Bounds, seed: u64, now: Micros) -> Door {
         let costs = Costs::new(kinds, plan.per_kb);
+        let budgets: Vec<Micros> = kinds.iter().map(|k| k.budget).collect();
         Door {
             fair: Fair::new(&plan, &worths(&costs), seed, now),
-            inside: Inside::new(plan.inside_least, plan.inside_most, kinds.len(), now),
+            inside: Inside::new(plan.inside_least, plan.inside_most, &budgets, now),
             buckets: Buckets::new(plan.bucket_per_s, plan.bucket_burst),
             tallies: vec![Tally::default(); plan.tenants.len()],
             costs,
@@ -498,7 +499,8 @@
             if let Some(entry) = self.entries.get_mut(at) {
                 // Its client may have been given a queue of its own since.
                 entry.flow = flow;
-                self.turns.push(Turn::In { id: entry.id, waited: now - entry.since });
+                let (id, tenant) = (entry.id, entry.asker.tenant);
+                self.turns.push(Turn::In { id, tenant, waited: now - entry.since });
             }
         }
         out.append(&mut self.turns);
