Stand-in load reconnects where the front ends a connection

The demo ended in a panic once its 400 connections met the clients' ceiling: an idle one was let go with the word to bring no more, which the stand-in read as an answer. It now connects again and counts that; the demo's front has room for all.

--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -47,7 +47,9 @@
     let named: Vec<_> = ["s-a", "s-b", "s-c"].into_iter().zip(boxes.iter().map(|b| b.address)).collect();
     let site =
         Site { caches: &named, parent: parent.address, origin: origin.address, journal: journal.address };
-    let program = Program::with_settings(&site.config(), settings);
+    let mut config = site.config();
+    config["limits"]["sockets"] = 4096.into();
+    let program = Program::with_settings(&config, settings);
     let load = |from: &str, connections, manners, think| Load {
         from: from.parse().unwrap(),
         connections,
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -10,6 +10,9 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
+/// The type of a frame that answers a lookup.
+const ANSWER: u8 = 66;
+
 /// What one who was turned away does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Manners {
@@ -62,6 +65,8 @@
     /// Returns at a time that was advised, and how many of them were satisfied.
     pub returned: AtomicU64,
     pub got_in: AtomicU64,
+    /// Connections that the front ended.
+    pub closed: AtomicU64,
     /// Nacks with no time to come back.
     pub unadvised: AtomicU64,
 }
@@ -127,7 +132,12 @@
             let asked = Instant::now();
             client.write(&ask(stream, "map", &told, b""));
             counts.asked.fetch_add(1, Relaxed);
-            let Some(answer) = client.hear() else { break };
+            let Some(answer) = client.hear().filter(|frame| frame.kind == ANSWER) else {
+                // Closed, or asked to bring no more: the front may do so where nothing is open.
+                counts.closed.fetch_add(1, Relaxed);
+                client = Client(connect_from(self.from, to));
+                continue;
+            };
             let took = asked.elapsed();
             let satisfied = answer.code() == 0;
             counts.returned.fetch_add(u64::from(returns), Relaxed);
