--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -415,7 +415,7 @@
                 if ending == Ending::Satisfied {
                     // What carries no note came from a machine that does not tell; it counts as one that had it.
                     let hit = matches!(outcome.remark, Remark::Hit | Remark::None);
-                    taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb };
+                    taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb, left: false };
                     let current = head.status == 304;
                     let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
                     self.answer(out.lookup, (frame::SATISFIED, fields, body), now);
--- /dev/null
+++ b/crates/front/tests/turns.rs
@@ -0,0 +1,240 @@
+//! The door from outside: the program on loopback sockets, with settings of its own.
+
+use meadowrill_standins::load::{later, Counts, Load, Manners};
+use meadowrill_standins::service::{Directory, Service};
+use meadowrill_standins::*;
+use serde_json::json;
+use std::io::{BufRead, Read, Write};
+use std::os::unix::net::UnixStream;
+use std::process::Command;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const TENANTS: &str = r#"
+  tenant { name: "quiet" network: "127.0.2.0/24" }
+  tenant { name: "loud" network: "127.0.3.0/24" }
+"#;
+
+fn fair(more: &str) -> String {
+    format!("turns {{ order: FAIR {TENANTS} {more} }}")
+}
+
+fn from(address: &str, connections: usize, manners: Manners) -> Load {
+    Load { from: address.parse().unwrap(), connections, manners, ..Load::default() }
+}
+
+/// One cache that holds everything and serves 400 a second, and a front with these settings.
+fn front(settings: &str) -> (Program, Service, Journal) {
+    let cache = Service::start(8, Duration::from_millis(20), 1_000, false, &Directory::default());
+    let journal = Journal::start();
+    let config = config(&[("s-a", cache.address)], journal.address);
+    (Program::with_settings(&config, settings), cache, journal)
+}
+
+#[test]
+fn a_quiet_hospital_is_served_beside_one_that_hammers() {
+    let (program, cache, _journal) = front(&fair(""));
+    let loud = Load { pipelined: 16, ..from("127.0.3.1", 32, Manners::Hammers) }.start(program.address);
+    thread::sleep(Duration::from_millis(1_500));
+    let before = cache.answered();
+    let quiet = Load { think: Duration::from_millis(20), ..from("127.0.2.1", 1, Manners::Returns) };
+    let quiet = quiet.start(program.address);
+    thread::sleep(Duration::from_millis(2_500));
+    let served = cache.answered() - before;
+    let (quiet, _) = quiet.end();
+    loud.end();
+    let (asked, good) = (Counts::of(&quiet.asked), Counts::of(&quiet.in_budget));
+    assert!(asked >= 10 && good + 2 >= asked, "{quiet:?}");
+    // And the cache is not held idle for it.
+    assert!(served > 850, "{served} of 1000");
+}
+
+#[test]
+fn who_is_turned_away_is_told_a_time_and_mostly_gets_in_then() {
+    let (program, _cache, _journal) = front(&fair(""));
+    let obedient = from("127.0.3.1", 320, Manners::Returns).start(program.address);
+    thread::sleep(Duration::from_secs(4));
+    let (counts, _) = obedient.end();
+    let (returned, got_in) = (Counts::of(&counts.returned), Counts::of(&counts.got_in));
+    assert!(returned > 100 && got_in as f64 > 0.8 * returned as f64, "{counts:?}");
+    assert_eq!(Counts::of(&counts.unadvised), 0, "{counts:?}");
+    assert_eq!(Counts::of(&counts.failed), 0, "{counts:?}");
+}
+
+#[test]
+fn one_that_waits_may_leave_and_what_was_never_sent_may_be_nacked() {
+    let cache = Cache::start(Does::Nothing);
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    // The first may take its time, so that the others' budget is over first.
+    config["settings"]["classes"][0]["goal_time_s"] = json!(2.5);
+    let program = Program::with_settings(&config, &fair("inside_least: 1 inside_most: 1"));
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("slice", "1")], b""));
+    cache.request();
+    // The second waits and leaves, a side-effecting one waits in vain, the fourth is let in once the first has ended.
+    client.write(&ask(2, "map", &[("slice", "2")], b""));
+    client.write(&ask(3, "order", &[("slice", "3"), ("limit", "3000")], b""));
+    let asked = Instant::now();
+    client.write(&frame(67, 2, &[]));
+    let given_up = client.answer();
+    assert_eq!((given_up.stream, given_up.code()), (3, 11));
+    // Its latency budget is half a second and what it may grow; its client would have waited three.
+    assert!(asked.elapsed() < Duration::from_millis(2_000), "{:?}", asked.elapsed());
+    assert!(later(&given_up).is_some_and(|d| d <= Duration::from_secs(1)));
+    cache.does(ok(b"fine"));
+    client.write(&frame(67, 1, &[]));
+    assert_eq!(client.lookup(4, "map").code(), 0);
+    let seen: Vec<String> = cache
+        .seen
+        .try_iter()
+        .filter_map(|s| if let Seen::Request(_, h, _) = s { Some(h) } else { None })
+        .collect();
+    assert!(seen.iter().all(|head| !head.contains("/2 HTTP") && !head.contains("/order/")), "{seen:?}");
+}
+
+#[test]
+fn a_signal_to_end_answers_those_who_wait_too() {
+    let (mut program, _cache, _journal) = front(&fair("inside_least: 2 inside_most: 2"));
+    let mut clients: Vec<Client> = (0..8).map(|_| Client::new(&program)).collect();
+    for client in &mut clients {
+        assert_eq!(client.ready(), 0);
+        client.write(&[ask(1, "map", &[], b""), ask(2, "map", &[("txn", "00000000000000aa")], b"")].concat());
+    }
+    program.terminate();
+    for mut client in clients {
+        let mut frames: Vec<(u8, u32)> =
+            std::iter::from_fn(|| client.hear()).map(|f| (f.kind, f.stream)).collect();
+        frames.sort_unstable();
+        assert_eq!(frames, [(66, 1), (66, 2), (90, 0)]);
+    }
+    assert!(program.child.wait().unwrap().success());
+}
+
+#[test]
+fn weights_change_under_load_and_a_faulty_file_changes_nothing() {
+    let (mut program, _cache, _journal) = front(&fair(""));
+    let loads = ["127.0.2.1", "127.0.3.1"].map(|a| from(a, 120, Manners::Returns).start(program.address));
+    let served = |loads: &[load::Running; 2]| [0, 1].map(|at| Counts::of(&loads[at].counts.satisfied));
+    thread::sleep(Duration::from_millis(1_500));
+    // Faulty: all stays as it is.
+    program.renew(&fair("").replace("network: \"127.0.2.0/24\"", "network: \"127.0.2.0/24\" weight: -4"));
+    thread::sleep(Duration::from_millis(1_500));
+    let first = served(&loads);
+    let ratio = first[0] as f64 / first[1] as f64;
+    assert!((0.8..1.25).contains(&ratio), "{first:?}");
+    program.renew(&fair("").replace("network: \"127.0.2.0/24\"", "network: \"127.0.2.0/24\" weight: 4"));
+    thread::sleep(Duration::from_millis(1_000));
+    let before = served(&loads);
+    thread::sleep(Duration::from_millis(2_500));
+    let after = served(&loads);
+    let got = [0, 1].map(|at| (after[at] - before[at]) as f64);
+    assert!(got[0] / got[1] > 2.0, "{got:?}");
+    // Tenants that vanish: nothing of theirs is lost.
+    program.renew("turns { order: FAIR }");
+    thread::sleep(Duration::from_millis(500));
+    for load in loads {
+        let (counts, _) = load.end();
+        assert_eq!((Counts::of(&counts.failed), Counts::of(&counts.closed)), (0, 0), "{counts:?}");
+    }
+    assert!(program.alive());
+}
+
+#[test]
+fn operators_are_told_who_holds_the_door() {
+    let folder = tempfile::tempdir().unwrap();
+    let socket = folder.path().join("door");
+    let settings =
+        format!("operators {{ socket: \"{}\" }} log {{ form: JSON }} {}", socket.display(), fair(""));
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let config = config(&[("s-a", cache.address)], journal.address);
+    let mut program = Program::with_settings_unread(&config, &settings);
+    let mut client = Client::new(&program);
+    (1..=20).for_each(|stream| assert_eq!(client.lookup(stream, "map").code(), 0));
+    let told = |word: &str| {
+        let output = Command::new(program::binary()).arg(word).arg(&socket).output().unwrap();
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).unwrap()
+    };
+    let table = told("turns");
+    let row = table.lines().find(|l| l.starts_with("default ")).unwrap();
+    assert!(row.split_whitespace().nth(4) == Some("20") && table.contains("127.0.0.1"), "{table}");
+    let metrics = told("metrics");
+    assert!(metrics.contains("meadowrill_door_offered_total{tenant=\"default\"} 20"), "{metrics}");
+    assert!(metrics.contains("meadowrill_door_limit "), "{metrics}");
+    // Whoever says nothing, too much or nonsense holds nobody up.
+    let _silent = UnixStream::connect(&socket).unwrap();
+    let mut long = UnixStream::connect(&socket).unwrap();
+    long.write_all(&[b'x'; 500]).unwrap();
+    let mut rest = String::new();
+    let _ = long.read_to_string(&mut rest);
+    assert!(told("turns").contains("tenant"));
+    // On a signal the same goes to the log, a line of JSON each.
+    program.signal("-USR1");
+    let mut lines = program.log.take().unwrap().lines();
+    let line = lines.find_map(|l| l.ok().filter(|l| l.contains("\"door\""))).unwrap();
+    let line: serde_json::Value = serde_json::from_str(&line).unwrap();
+    assert_eq!((&line["msg"], &line["order"]), (&json!("door"), &json!("Fair")));
+    program.terminate();
+    lines.for_each(drop);
+    assert!(program.child.wait().unwrap().success());
+    assert!(!socket.exists());
+}
+
+#[test]
+fn files_are_checked_before_they_are_used() {
+    let folder = tempfile::tempdir().unwrap();
+    let check = |name: &str, text: &str| {
+        let path = folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        let output = Command::new(program::binary()).arg("check").arg(&path).output().unwrap();
+        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+    };
+    assert_eq!(check("good", &fair("")).0, Some(0));
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let mut config = config(&[], nowhere);
+    assert_eq!(check("config", &config.to_string()).0, Some(0));
+    config["limits"]["sockets"] = json!("many");
+    let (code, text) = check("config", &config.to_string());
+    assert!(code == Some(1) && text.contains("limits.sockets"), "{text}");
+    for (more, key) in [
+        ("waiting_most: 0", "turns.waiting_most"),
+        ("waiting_most: -1", "turns.waiting_most"),
+        ("bucket_per_s: nan", "turns.bucket_per_s"),
+        ("inside_most: 99999999999", "turns.inside_most"),
+        ("nonsense: 1", "turns.nonsense"),
+    ] {
+        let (code, text) = check("bad", &fair(more));
+        assert!(code == Some(1) && text.contains(key) && text.contains("line 4"), "{more}: {text}");
+    }
+    // A start with a faulty file ends with the key, before it listens.
+    let path = folder.path().join("bad");
+    let (mut command, _config) = Program::command(&crate::config(&[], nowhere));
+    let output = command.args(["serve", "--settings"]).arg(&path).output().unwrap();
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(
+        !output.status.success() && text.contains("turns.nonsense") && !text.contains("listening"),
+        "{text}"
+    );
+}
+
+#[test]
+fn without_settings_nothing_waits_and_nothing_else_listens() {
+    let cache = Cache::start(Does::Nothing);
+    let journal = Journal::start();
+    let config = config(&[("s-a", cache.address)], journal.address);
+    let program = Program::start(&config);
+    let mut client = Client::new(&program);
+    for stream in 1..=3 {
+        client.write(&ask(stream, "map", &[("slice", "1"), ("limit", "3000")], b""));
+        cache.request();
+    }
+    let sockets = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap();
+    let sockets = sockets.filter_map(|e| std::fs::read_link(e.unwrap().path()).ok());
+    let unix = std::fs::read_to_string(format!("/proc/{}/net/unix", program.child.id())).unwrap();
+    let held: Vec<String> =
+        sockets.filter_map(|l| l.to_str()?.strip_prefix("socket:[").map(str::to_string)).collect();
+    let listens = unix.lines().filter(|l| held.iter().any(|inode| l.contains(inode.trim_end_matches(']'))));
+    assert_eq!(listens.filter(|l| l.contains(" 00010000 ")).count(), 0);
+}
--- a/crates/turns/src/door.rs
+++ b/crates/turns/src/door.rs
@@ -109,6 +109,8 @@
     /// Out of a cache's own memory.
     pub hit: bool,
     pub size_kb: f64,
+    /// Its client waits no longer.
+    pub left: bool,
 }
 
 /// What the host bounds: lookups that are open, and bytes held for them and for connections.
@@ -135,6 +137,8 @@
     bytes: u32,
     few: bool,
     counted: bool,
+    /// Answered already, its place cools.
+    cools: bool,
 }
 
 /// What a tenant was given since the start.
@@ -259,7 +263,7 @@
             entry.asker.tenant = moved.get(usize::from(entry.asker.tenant)).copied().unwrap_or(0);
             entry.flow = self.fair.flow_of(now, entry.asker);
             match entry.entered {
-                Some(_) if entry.queued => self.fair.adopt(entry.flow),
+                Some(_) if entry.queued && !entry.cools => self.fair.adopt(entry.flow),
                 Some(_) => {}
                 None => {
                     let (kind, client) = (usize::from(entry.kind), entry.asker.client);
@@ -287,7 +291,7 @@
         let booked = self.calendar.redeem(now, &asker);
         booked.into_iter().for_each(|flow| self.fair.booked(flow, -1));
         let most = |bound: usize| if booked.is_some() { bound } else { bound - bound / KEPT };
-        if self.entries.len() >= most(self.bounds.lookups) {
+        if self.open() >= most(self.bounds.lookups) {
             return self.full(now, asker, Why::Lookups);
         }
         if held > most(self.bounds.bytes) {
@@ -313,6 +317,7 @@
             bytes: offer.bytes,
             few: false,
             counted: true,
+            cools: false,
         };
         if !fair {
             let at = self.entries.put(entry);
@@ -437,11 +442,24 @@
         let now = self.at(now);
         let Some(entry) = self.entries.get(ticket.0).copied() else { return };
         let Some(entered) = entry.entered else { return };
-        self.entries.take(ticket.0);
-        self.limits.unset(ticket.0);
+        if entry.cools {
+            return;
+        }
         self.inside.leave(entry.counted);
         let (kind, took) = (usize::from(entry.kind), now - entered);
+        let usual = self.costs.took(kind) as Micros;
+        let cools = entry.queued && !done.satisfied && !done.left && took < usual;
+        if cools {
+            self.inside.cool();
+            self.limits.set(ticket.0, entered + usual);
+            self.entries.get_mut(ticket.0).into_iter().for_each(|e| e.cools = true);
+        } else {
+            self.entries.take(ticket.0);
+            self.limits.unset(ticket.0);
+        }
+        // What was not satisfied gets nothing back, or asking for what cannot be had would cost nothing.
         let cost = self.costs.actual(took, done.size_kb);
+        let cost = if done.satisfied { cost } else { cost.max(entry.charged) };
         let tally = &mut self.tallies[usize::from(entry.asker.tenant)];
         tally.satisfied += u64::from(done.satisfied);
         tally.cost += cost;
@@ -468,7 +486,7 @@
         let now = self.at(now);
         let Some(entry) = self.entries.get(ticket.0).copied() else { return false };
         if entry.entered.is_some() {
-            self.ended(now, ticket, Done::default());
+            self.ended(now, ticket, Done { left: true, ..Done::default() });
             return false;
         }
         self.entries.take(ticket.0);
@@ -487,6 +505,10 @@
         while let Some(at) = self.limits.due(now) {
             match self.entries.get_mut(at) {
                 Some(entry) if entry.entered.is_none() => self.give_up(now, at, Why::Late),
+                Some(entry) if entry.cools => {
+                    self.entries.take(at);
+                    self.inside.cooled();
+                }
                 Some(entry) if entry.counted => entry.counted = !self.inside.give_up_on(),
                 _ => {}
             }
@@ -518,7 +540,7 @@
 
     /// Lookups that wait or are inside.
     pub fn open(&self) -> usize {
-        self.entries.len()
+        self.entries.len() - self.inside.cooling()
     }
 
     pub fn room(&self) -> bool {
--- a/crates/turns/src/inside.rs
+++ b/crates/turns/src/inside.rs
@@ -22,6 +22,8 @@
 /// Steps: up where the queue is far shorter or somewhat shorter than it may be, and the most down at once.
 const UP: f64 = 1.25;
 const CLOSER: f64 = 1.02;
+/// A limit of which less than this part is used is not what binds.
+const USED: f64 = 0.7;
 const DOWN: f64 = 0.8;
 /// How long the time with few inside is believed, while it is not seen again.
 const BELIEVED: Micros = 4_000_000;
@@ -56,6 +58,10 @@
     /// Those that count, and those that are overdue.
     counted: usize,
     overdue: usize,
+    /// Places of what was given up behind the door, kept as long as an answer would have taken.
+    cooling: usize,
+    /// How many are usually inside.
+    usual: f64,
     alone: Vec<Alone>,
     began: Micros,
     samples: u32,
@@ -63,6 +69,7 @@
     took: f64,
     would: f64,
     wait: f64,
+    inside: f64,
     /// Somebody had to wait since the window began.
     bound: bool,
     probe: Option<Micros>,
@@ -81,12 +88,15 @@
             most,
             counted: 0,
             overdue: 0,
+            cooling: 0,
+            usual: 0.0,
             alone: budgets.iter().map(|b| Alone { took: None, at: now, wait: *b as f64 * WAIT }).collect(),
             began: now,
             samples: 0,
             took: 0.0,
             would: 0.0,
             wait: 0.0,
+            inside: 0.0,
             bound: false,
             probe: None,
             probed: 0,
@@ -112,19 +122,21 @@
         self.overdue
     }
 
+    /// Few, against what is usually inside: where the module's own gates are what binds, the limit says nothing.
     fn few(&self) -> f64 {
-        (self.limit * FEW).max(1.0)
+        (self.limit.min(self.usual) * FEW).max(1.0)
     }
 
     pub fn room(&self) -> bool {
         let limit = if self.probe.is_some() { self.few() } else { self.limit };
-        (self.counted as f64) < limit.floor().max(1.0)
+        ((self.counted + self.cooling) as f64) < limit.floor().max(1.0)
     }
 
     /// One goes in; tells whether few are inside, so that what it takes shows how a cache is with few.
     pub fn enter(&mut self) -> bool {
         self.counted += 1;
-        self.counted as f64 <= self.few()
+        // Those that are overdue may well be a queue.
+        (self.counted + self.overdue) as f64 <= self.few()
     }
 
     /// Somebody has to wait.
@@ -167,6 +179,20 @@
         }
     }
 
+    /// One was given up behind the door sooner than it would have been answered: its place cools. Else all that
+    /// waits would pass through that place to be given up too, and the queue at the door would protect nobody.
+    pub fn cool(&mut self) {
+        self.cooling += 1;
+    }
+
+    pub fn cooled(&mut self) {
+        self.cooling -= 1;
+    }
+
+    pub fn cooling(&self) -> usize {
+        self.cooling
+    }
+
     /// An answer out of a cache's memory: how long it took, and whether few were inside when it was asked for.
     pub fn seen(&mut self, now: Micros, kind: usize, took: Micros, few: bool) {
         let took = (took as f64).max(1.0);
@@ -180,6 +206,7 @@
             self.took += took;
             self.would += would;
             self.wait += alone.wait;
+            self.inside += (self.counted + self.overdue + 1) as f64;
             self.samples += 1;
         }
         self.judge(now);
@@ -201,15 +228,17 @@
             self.alone.iter_mut().for_each(|a| a.took = a.took.map(|t| t / quick));
         }
         let quick = quick.min(1.0);
-        let queue = self.limit * (1.0 - quick);
-        let allowed = self.limit * self.wait / (self.would + self.wait);
+        let inside = self.inside / f64::from(self.samples);
+        self.usual = inside;
+        let queue = inside * (1.0 - quick);
+        let allowed = inside * self.wait / (self.would + self.wait);
         let aim = (QUEUE.0.max(AROUND.0 * allowed), QUEUE.1.max(AROUND.1 * allowed));
         let before = self.limit;
         if queue > aim.1 {
             // To where the queue would be in the middle of what is aimed at.
-            let to = self.limit - (queue - (aim.0 + aim.1) / 2.0);
-            self.limit = to.max(self.limit * DOWN);
-        } else if self.bound && queue < aim.0 {
+            let to = inside + self.cooling as f64 - (queue - (aim.0 + aim.1) / 2.0);
+            self.limit = to.min(self.limit).max(self.limit * DOWN);
+        } else if self.bound && queue < aim.0 && inside + self.cooling as f64 > USED * self.limit {
             self.limit = if queue < aim.0 / 2.0 { self.limit * UP } else { self.limit * CLOSER + 1.0 };
         }
         self.limit = self.limit.clamp(self.least, self.most);
@@ -222,7 +251,7 @@
 
     fn start_anew(&mut self, now: Micros) {
         (self.began, self.samples, self.bound) = (now, 0, false);
-        (self.took, self.would, self.wait) = (0.0, 0.0, 0.0);
+        (self.took, self.would, self.wait, self.inside) = (0.0, 0.0, 0.0, 0.0);
     }
 
     /// When a measurement ends, if one is under way.
