Measure what a hit costs: allocations, system calls, copies, processor time, instructions

Counts come from where they happen: the connections' reads and writes, the waits (the library's poller makes five calls each), the copies, and an allocator by a crate in a build of its own. The program is a library now, so that the counting build is the same code.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -5,6 +5,7 @@
 use crate::frame;
 use crate::http;
 use crate::net::caches::{report, Answered, Caches, Ended, Out};
+use crate::net::calls::add;
 use crate::net::clients::{Clients, Heard};
 use crate::net::journal::{self, Change, Journal, Member, News};
 use crate::net::operators::Operators;
@@ -94,6 +95,8 @@
     names: Names,
     metrics: Metrics,
     operators: Option<Operators>,
+    /// Further counts of a bench build.
+    counts: Option<fn() -> String>,
     caches: Caches,
     journal: Journal,
     machines: Indices<String>,
@@ -120,6 +123,7 @@
         listener: TcpListener,
         events: &EventLoop<'static, Gathered>,
         log: Logger,
+        counts: Option<fn() -> String>,
     ) -> io::Result<Front> {
         let poll = Poll::new(events.handle());
         listener.set_nonblocking(true)?;
@@ -143,6 +147,7 @@
             names: Names::new(&config.own.turns, config.seed),
             metrics: Metrics::default(),
             operators: operators.transpose()?,
+            counts,
             caches: Caches::new(config.caches, config.conn_idle),
             journal: Journal::new(config.journal, last),
             machines: Indices::default(),
@@ -186,6 +191,8 @@
             let next = next.map_or(TICK, |at| at - self.clock.now());
             let at_once = !self.events.is_empty() || !self.over.is_empty() || self.clients.waits();
             let pause = if at_once { 0 } else { next.max(0) as u64 };
+            // The library's poller: time, its re-arming, the wait, its note and that re-armed.
+            add(&self.poll.calls.waits, 5);
             events.dispatch(Some(Duration::from_micros(pause)), &mut gathered).map_err(io::Error::other)?;
             let now = self.clock.now();
             self.gather(&mut gathered, now);
@@ -257,10 +264,12 @@
             Key::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.poll)),
             Key::Operator(number) => {
                 let (door, metrics) = (&self.door, &self.metrics);
+                let (calls, counts) = (&self.poll.calls, self.counts);
                 let tell = |word: &str| match word {
                     "turns" => report::table(&door.report()),
                     "metrics" => metrics.text(door),
-                    _ => "turns or metrics\n".to_string(),
+                    "counts" => format!("{}{}", calls.text(), counts.map_or(String::new(), |more| more())),
+                    _ => "turns, metrics or counts\n".to_string(),
                 };
                 self.operators.iter_mut().for_each(|o| o.handle(number, &self.poll, tell));
             }
@@ -496,6 +505,7 @@
     fn admit(&mut self, now: Micros) {
         while self.knocking && self.clients.room(now, &mut self.poll) {
             let Some((listener, _)) = &self.listener else { return };
+            add(&self.poll.calls.connections, 1);
             match listener.accept() {
                 Ok((stream, from)) => {
                     if let Err(e) = self.clients.accept(stream, from.ip(), now, &mut self.poll) {
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,126 @@
+//! meadowrill on sockets: start and log. What it is told stands in the file that `BALANCER_CONFIG` names, and in our
+//! own settings beside it.
+
+mod cli;
+mod config;
+mod frame;
+mod front;
+mod http;
+mod net;
+mod report;
+mod ring;
+
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Readiness};
+use clap::Parser;
+use cli::{Cli, Command};
+use config::Config;
+use meadowrill_settings::Form;
+use meadowrill_standins::demo;
+use slog::{crit, error, info, o, Drain, Filter, Logger};
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Mutex;
+use std::time::Duration;
+
+/// Lines that wait for a reader of the log; what goes beyond is dropped and counted.
+const WAITING: usize = 1024;
+/// How long the end waits for the last lines.
+const LAST_LINES: Duration = Duration::from_millis(200);
+/// Connections that may wait for the loop; the kernel cuts it to what the machine allows.
+const BACKLOG: i32 = 4096;
+
+/// Serving runs on one thread and must not wait for whoever reads the log, so the log has one of its own.
+fn log(config: &Config) -> (Logger, slog_async::AsyncGuard) {
+    let level = config.log.clone();
+    // A log that cannot be written is no reason to end.
+    let (drain, guard) = match config.own.log {
+        Form::Text => {
+            let plain = slog_term::PlainDecorator::new(std::io::stderr());
+            queued(slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res())
+        }
+        Form::Json => queued(Mutex::new(slog_json::Json::default(std::io::stderr())).ignore_res()),
+    };
+    let drain = Filter::new(drain, move |line| level.shows(line.level())).ignore_res();
+    (Logger::root(drain, o!("front" => config.name.clone())), guard)
+}
+
+fn queued<D>(lines: D) -> (slog_async::Async, slog_async::AsyncGuard)
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(lines)
+        .chan_size(WAITING)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard()
+}
+
+fn serve(config: Config, counts: Option<fn() -> String>) -> Result<(), String> {
+    let mut poll = EventLoop::try_new().map_err(|e| format!("poller: {e}"))?;
+    // Before the log's thread starts, so that it leaves these signals to the loop as well.
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
+        .map_err(|e| format!("signals: {e}"))?;
+    let told = |event: calloop::signals::Event, _: &mut (), gathered: &mut net::Gathered| {
+        let key = match event.signal() {
+            Signal::SIGHUP => net::Key::Reload,
+            Signal::SIGUSR1 => net::Key::Report,
+            _ => net::Key::Signal,
+        };
+        gathered.push((key, Readiness::EMPTY));
+    };
+    poll.handle().insert_source(signals, told).map_err(|e| format!("signals: {e}"))?;
+    let (log, guard) = log(&config);
+    // Where a panic was belongs into the log; the usual report would wait for whoever reads standard error.
+    let told = log.clone();
+    std::panic::set_hook(Box::new(move |panic| error!(told, "panic"; "what" => %panic)));
+    let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
+    // The library's own is short for what may have to wait at the clients' ceiling.
+    rustix::net::listen(&listener, BACKLOG).map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let at = listener.local_addr().map_err(|e| e.to_string())?;
+    info!(log, "listening"; "at" => %at, "clients" => config.clients, "caches" => config.caches,
+        "buffers" => config.buffers);
+    let ended = front::Front::new(config, listener, &poll, log.clone(), counts)
+        .and_then(|mut front| front.run(&mut poll))
+        .map_err(|e| {
+            crit!(log, "ended"; "error" => %e);
+            e.to_string()
+        });
+    // The last lines are waited for, but not for a reader that has stopped reading.
+    let (tell, written) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        drop(guard);
+        let _ = tell.send(());
+    });
+    let _ = written.recv_timeout(LAST_LINES);
+    std::mem::forget(log);
+    ended
+}
+
+fn start(settings: Option<PathBuf>, counts: Option<fn() -> String>) -> Result<(), String> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG: is not set".to_string())?;
+    let config = Config::load(path.into(), settings).map_err(|faulty| faulty.to_string())?;
+    serve(config, counts)
+}
+
+/// What the program does, by its command line. `counts` adds what a bench build counts, for whoever asks the
+/// operators' socket for it.
+pub fn main(counts: Option<fn() -> String>) -> ExitCode {
+    let done = match Cli::parse().command {
+        None => start(None, counts),
+        Some(Command::Serve { settings }) => start(settings, counts),
+        Some(Command::Check { file }) => {
+            cli::check(&file).map(|kind| println!("{}: good {kind}", file.display()))
+        }
+        Some(Command::Turns { socket }) => cli::operator(&socket, "turns").map(|text| print!("{text}")),
+        Some(Command::Metrics { socket }) => cli::operator(&socket, "metrics").map(|text| print!("{text}")),
+        Some(Command::Demo { seconds }) => demo::run(seconds),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("meadowrill: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -1,5 +1,6 @@
 //! Caches, parents and the origin: one request at a time on a connection, and kept connections.
 
+use super::calls::add;
 use super::{Cause, Fault, Key, Link, Poll, Reach};
 use crate::http;
 use calloop::Readiness;
@@ -305,6 +306,8 @@
             Ok(false) => flushed.map(|()| None).map_err(Cause::Io),
             Ok(true) => {
                 let Some(mut head) = conn.head.take() else { return Ok(None) };
+                // Into the ring, out of it, and into the client's.
+                add(&poll.calls.copied, 3 * head.body as u64);
                 let body = conn.link.inbound.whole()[head.head..head.head + head.body].to_vec();
                 conn.link.inbound.drop_front(head.head + head.body);
                 head.last |= ended;
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -1,10 +1,12 @@
 //! Connections by peer, and what they share: a non-blocking stream with its two rings, and how far a send came.
 
 pub mod caches;
+pub mod calls;
 pub mod clients;
 pub mod journal;
 pub mod operators;
 
+use self::calls::{add, Calls};
 use crate::http;
 use crate::ring::{Ring, Tally};
 use calloop::generic::Generic;
@@ -43,13 +45,14 @@
 pub struct Poll {
     handle: LoopHandle<'static, Gathered>,
     pub tally: Tally,
+    pub calls: Rc<Calls>,
     next: u64,
     scratch: Vec<u8>,
 }
 
 impl Poll {
     pub fn new(handle: LoopHandle<'static, Gathered>) -> Poll {
-        Poll { handle, tally: Tally::default(), next: 0, scratch: vec![0; SCRATCH] }
+        Poll { handle, tally: Tally::default(), calls: Rc::default(), next: 0, scratch: vec![0; SCRATCH] }
     }
 
     pub fn key(&mut self) -> u64 {
@@ -59,6 +62,7 @@
 
     /// Told once at each change, so that no connection is asked about again while nothing has come.
     pub fn watch<F: AsFd + 'static>(&self, file: F, key: Key) -> io::Result<RegistrationToken> {
+        add(&self.calls.controls, 1);
         let source = Generic::new(file, Interest::BOTH, Mode::Edge);
         let tell = move |ready, _: &mut _, gathered: &mut Gathered| {
             gathered.push((key, ready));
@@ -68,6 +72,7 @@
     }
 
     pub fn unwatch(&self, token: RegistrationToken) {
+        add(&self.calls.controls, 1);
         self.handle.remove(token);
     }
 
@@ -75,6 +80,7 @@
     pub fn connect(&self, address: SocketAddr, key: Key, most: (usize, usize)) -> io::Result<Link> {
         let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
+        add(&self.calls.connections, 2);
         let socket = socket_with(family, SocketType::STREAM, flags, None)?;
         match connect(&socket, &address) {
             Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
@@ -84,12 +90,14 @@
     }
 
     pub fn link(&self, stream: TcpStream, key: Key, most: (usize, usize)) -> io::Result<Link> {
+        add(&self.calls.connections, 2);
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
         let token = self.watch(Rc::clone(&stream), key)?;
         let (inbound, outbound) = (Ring::new(most.0, &self.tally), Ring::new(most.1, &self.tally));
-        Ok(Link { stream, token, inbound, outbound, readable: false, writable: false, written: 0 })
+        let calls = Rc::clone(&self.calls);
+        Ok(Link { stream, calls, token, inbound, outbound, readable: false, writable: false, written: 0 })
     }
 
     /// Reads what has come, as far as the ring takes it; true once the peer has ended its side.
@@ -121,6 +129,7 @@
 
     /// One read: how much came, and none where nothing is there.
     fn piece(&mut self, link: &mut Link, most: usize) -> io::Result<Option<usize>> {
+        add(&self.calls.reads, 1);
         match (&*link.stream).read(&mut self.scratch[..most]) {
             Ok(n) => {
                 link.readable &= n > 0;
@@ -139,6 +148,7 @@
 /// A connection: who owns it is told by where it is kept.
 pub struct Link {
     stream: Rc<TcpStream>,
+    calls: Rc<Calls>,
     token: RegistrationToken,
     pub inbound: Ring,
     pub outbound: Ring,
@@ -157,6 +167,7 @@
     /// Hands on what the kernel takes now.
     pub fn flush(&mut self) -> io::Result<()> {
         while self.writable && !self.outbound.is_empty() {
+            add(&self.calls.writes, 1);
             match (&*self.stream).write_vectored(&self.outbound.slices()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => {
@@ -173,6 +184,7 @@
 
     /// Whether a connection that was begun is up.
     pub fn arrived(&self) -> io::Result<bool> {
+        add(&self.calls.connections, 2);
         if let Some(e) = self.stream.take_error()? {
             return Err(e);
         }
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,6 +1,7 @@
 //! `measure AREA`: lines `name: value (goal)`; exit code 1 when a goal is missed. Long, so not part of the tests.
 
 mod figures;
+mod path;
 mod turns;
 
 use clap::{Parser, ValueEnum};
@@ -9,6 +10,7 @@
 
 #[derive(Clone, Copy, Debug, ValueEnum)]
 enum Area {
+    Path,
     Turns,
 }
 
@@ -21,6 +23,7 @@
 fn main() -> ExitCode {
     let mut figures = Figures::default();
     match Cli::parse().area {
+        Area::Path => path::measure(&mut figures),
         Area::Turns => turns::measure(&mut figures),
     }
     figures.end()
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -38,6 +38,8 @@
     pub limit: Duration,
     /// The longest time that the front may tell: it stands for no turn.
     pub cap: Duration,
+    /// Lookups of one connection at the most.
+    pub most: u64,
     /// Further fields of each lookup; `{n}` in a value is another number each time.
     pub more: Vec<(String, String)>,
     /// Objects that are asked for in turn, the first part of each.
@@ -55,6 +57,7 @@
             budget: Duration::from_millis(500),
             limit: Duration::from_millis(3000),
             cap: Duration::from_millis(1000),
+            most: u64::MAX,
             more: Vec::new(),
             objects: 600,
         }
@@ -149,7 +152,7 @@
         let mut client = Client(connect_from(self.from, to));
         let (mut asked, mut stream) = (BTreeMap::new(), 0);
         let mut returns = false;
-        while !over.load(Relaxed) {
+        while !over.load(Relaxed) && u64::from(stream) < self.most {
             while asked.len() < self.pipelined as usize {
                 stream += 1;
                 asked.insert(stream, Instant::now());
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -76,12 +76,17 @@
 
 impl Program {
     pub fn command(config: &Value) -> (Command, tempfile::TempPath) {
+        let mut command = Command::new(binary());
+        let path = Program::configure(&mut command, config);
+        (command, path)
+    }
+
+    fn configure(command: &mut Command, config: &Value) -> tempfile::TempPath {
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(config.to_string().as_bytes()).unwrap();
         let path = file.into_temp_path();
-        let mut command = Command::new(binary());
         command.env("BALANCER_CONFIG", &path).stderr(Stdio::piped());
-        (command, path)
+        path
     }
 
     pub fn start(config: &Value) -> Program {
@@ -98,10 +103,22 @@
     }
 
     pub fn with_settings_unread(config: &Value, settings: &str) -> Program {
+        let mut command = Command::new(binary());
+        Program::set(&mut command, config, settings)
+    }
+
+    /// Another build of the program, or one under a tool.
+    pub fn commanded(command: &mut Command, config: &Value, settings: &str) -> Program {
+        let mut program = Program::set(command, config, settings);
+        program.read_on();
+        program
+    }
+
+    fn set(command: &mut Command, config: &Value, settings: &str) -> Program {
         let mut file = tempfile::NamedTempFile::new().unwrap();
         file.write_all(settings.as_bytes()).unwrap();
         let file = file.into_temp_path();
-        let (mut command, path) = Program::command(config);
+        let path = Program::configure(command, config);
         command.arg("serve").arg("--settings").arg(&file);
         let mut program = Program::begun(command, path);
         program.settings = Some(file);
@@ -116,12 +133,12 @@
 
     /// One whose log is read no further than to its address.
     pub fn unread(config: &Value) -> Program {
-        let (command, path) = Program::command(config);
-        Program::begun(command, path)
+        let (mut command, path) = Program::command(config);
+        Program::begun(&mut command, path)
     }
 
     /// Begins one, and reads its log up to its address.
-    pub fn begun(mut command: Command, path: tempfile::TempPath) -> Program {
+    pub fn begun(command: &mut Command, path: tempfile::TempPath) -> Program {
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
