--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -1,5 +1,6 @@
 //! The one place where settings are read, checked and given defaults; a faulty key is named by its whole path.
 
+use crate::{frame, ring};
 use meadowrill_core::door;
 use meadowrill_core::interface::{Micros, Settings};
 use meadowrill_settings as own;
@@ -304,7 +305,7 @@
             caches: sockets - SPARE - clients,
             lookups: bounds.get("max_open").number(MAX_OPEN, 1.0)? as usize,
             // The rest is for the module's memories, the allocator's slack and what a round moves.
-            buffers: (memory * 0.4) as usize,
+            buffers: (memory * 0.4) as usize - ring::spare_bytes(frame::LONGEST),
             text: json,
         })
     }
--- a/crates/front/src/frame.rs
+++ b/crates/front/src/frame.rs
@@ -1,5 +1,7 @@
 //! Frames between clients and the front: bytes to frames and back, no I/O.
 
+use compact_str::CompactString;
+use smallvec::SmallVec;
 use std::fmt;
 
 /// What comes before a payload.
@@ -76,7 +78,7 @@
     Ok(Some(Frame { kind: frame[0], stream, payload: &frame[5..] }))
 }
 
-type Fields<'a> = Vec<(&'a str, &'a str)>;
+type Fields<'a> = SmallVec<[(&'a str, &'a str); 12]>;
 
 /// Fields and what follows them.
 pub fn fields(payload: &[u8]) -> Result<(Fields<'_>, &[u8]), Fault> {
@@ -86,7 +88,7 @@
         std::str::from_utf8(text).map_err(|_| Fault::Truncated)
     }
     let (count, mut rest) = payload.split_first().ok_or(Fault::Truncated)?;
-    let mut fields = Vec::with_capacity(usize::from(*count));
+    let mut fields = Fields::new();
     for _ in 0..*count {
         let (size, after) = rest.split_first().ok_or(Fault::Truncated)?;
         rest = after;
@@ -101,23 +103,23 @@
 /// What a client asks for; texts go on as they came.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Request {
-    pub verb: String,
-    pub txn: String,
+    pub verb: CompactString,
+    pub txn: CompactString,
     /// `txn` as a number.
     pub id: u64,
     pub limit_ms: f64,
-    pub unique: Option<String>,
-    pub item: String,
+    pub unique: Option<CompactString>,
+    pub item: CompactString,
     pub object: u64,
     pub slice: u32,
     pub set: u32,
-    pub seen: Option<String>,
+    pub seen: Option<CompactString>,
     /// 0 where clients do not tell it.
     pub size_kb: f64,
     pub body: Vec<u8>,
     /// Who asks, by the fields that the settings name for it.
-    pub tenant: Option<String>,
-    pub desk: Option<String>,
+    pub tenant: Option<CompactString>,
+    pub desk: Option<CompactString>,
 }
 
 /// Fields that tell who asks, where the settings name any.
@@ -139,15 +141,15 @@
     fn read<T: std::str::FromStr>(name: &'static str, text: &str) -> Result<T, Fault> {
         text.parse().map_err(|_| Fault::Unreadable(name))
     }
-    let hex = |name: &'static str| -> Result<(String, u64), Fault> {
+    let hex = |name: &'static str| -> Result<(CompactString, u64), Fault> {
         let text = need(name)?;
         let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
         let number = u64::from_str_radix(text, 16).ok().filter(|_| digits);
-        number.map(|n| (text.to_string(), n)).ok_or(Fault::Unreadable(name))
+        number.map(|n| (CompactString::new(text), n)).ok_or(Fault::Unreadable(name))
     };
     let optional = |name: &'static str| match get(name) {
         Some(text) if !plain(text) => Err(Fault::Unreadable(name)),
-        other => Ok(other.map(str::to_string)),
+        other => Ok(other.map(CompactString::new)),
     };
     let verb = need("verb")?;
     let limit_ms: f64 = read("limit", need("limit")?)?;
@@ -160,12 +162,13 @@
         Some(number).filter(|n| *n <= most).ok_or(Fault::Unreadable(name))
     };
     // What is no plain text names nobody.
-    let told = |name: &Option<String>| name.as_deref().and_then(get).filter(|v| plain(v)).map(str::to_string);
+    let told =
+        |name: &Option<String>| name.as_deref().and_then(get).filter(|v| plain(v)).map(CompactString::new);
     if body.len() > BODY {
         return Err(Fault::Unreadable("body"));
     }
     Ok(Request {
-        verb: Some(verb).filter(|v| plain(v)).ok_or(Fault::Unreadable("verb"))?.to_string(),
+        verb: Some(verb).filter(|v| plain(v)).map(CompactString::new).ok_or(Fault::Unreadable("verb"))?,
         txn,
         id,
         limit_ms,
@@ -188,25 +191,22 @@
     })
 }
 
+/// What comes before a body: short, so it needs no memory of its own.
+pub type Head = SmallVec<[u8; 64]>;
+
 /// The frame up to where a body of `body` bytes follows.
-pub fn head(
-    kind: u8,
-    stream: u32,
-    code: Option<u8>,
-    fields: Option<&[(&str, &str)]>,
-    body: usize,
-) -> Vec<u8> {
-    let mut frame = vec![0; 4];
+pub fn head(kind: u8, stream: u32, code: Option<u8>, fields: Option<&[(&str, &str)]>, body: usize) -> Head {
+    let mut frame = Head::from_slice(&[0; 4]);
     frame.push(kind);
-    frame.extend(stream.to_le_bytes());
+    frame.extend_from_slice(&stream.to_le_bytes());
     frame.extend(code);
     if let Some(fields) = fields {
         frame.push(fields.len() as u8);
         for (name, value) in fields {
             frame.push(name.len() as u8);
-            frame.extend(name.as_bytes());
-            frame.extend((value.len() as u16).to_le_bytes());
-            frame.extend(value.as_bytes());
+            frame.extend_from_slice(name.as_bytes());
+            frame.extend_from_slice(&(value.len() as u16).to_le_bytes());
+            frame.extend_from_slice(value.as_bytes());
         }
     }
     let length = (frame.len() - 4 + body) as u32;
@@ -229,12 +229,12 @@
     ];
 
     fn frame(fields: &[(&str, &str)]) -> Vec<u8> {
-        head(ASK, 7, None, Some(fields), 0)
+        head(ASK, 7, None, Some(fields), 0).to_vec()
     }
 
     #[test]
     fn a_frame_is_read_once_it_is_whole() {
-        let mut bytes = head(ASK, 7, None, Some(&FIELDS), 3);
+        let mut bytes = head(ASK, 7, None, Some(&FIELDS), 3).to_vec();
         bytes.extend(b"abc");
         for cut in 0..bytes.len() {
             assert_eq!(next(&bytes[..cut]), Ok(None));
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::frame;
 use crate::http;
-use crate::net::caches::{report, Answered, Caches, Ended, Out};
+use crate::net::caches::{ending, report, Caches, Ended, Out};
 use crate::net::calls::add;
 use crate::net::clients::{Clients, Heard};
 use crate::net::journal::{self, Change, Journal, Member, News};
@@ -19,6 +19,7 @@
 use meadowrill_turns::names::{Names, Seen};
 use meadowrill_turns::plan::{ClientBy, Plan};
 use slog::{debug, error, info, warn, Logger};
+use smallvec::SmallVec;
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
 use std::io;
@@ -78,7 +79,18 @@
     place: Option<Ticket>,
     done: Done,
     /// By the number of the send: the connection and the serial, while it is out.
-    sends: Vec<Option<(u64, u64)>>,
+    sends: SmallVec<[Option<(u64, u64)>; 4]>,
+}
+
+#[derive(Default)]
+struct Spare {
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    ended: Vec<Ended>,
+    heard: Vec<Heard>,
+    turns: Vec<Turn>,
+    over: Vec<u32>,
+    request: Vec<u8>,
 }
 
 pub struct Front {
@@ -111,6 +123,8 @@
     timers: BinaryHeap<Reverse<(Micros, Timer)>>,
     serial: u64,
     events: Vec<Event>,
+    /// Kept empty, so that a round needs no new ones.
+    spare: Spare,
     /// Cache connections that wait until rings have room again.
     held_back: BTreeSet<Key>,
     /// When the last lookup was done with, once the front is ending.
@@ -125,7 +139,7 @@
         log: Logger,
         counts: Option<fn() -> String>,
     ) -> io::Result<Front> {
-        let poll = Poll::new(events.handle());
+        let poll = Poll::new(events)?;
         listener.set_nonblocking(true)?;
         let token = poll.watch(listener.try_clone()?, Key::Door)?;
         let clock = Clock::start();
@@ -159,6 +173,7 @@
             timers: BinaryHeap::new(),
             serial: 0,
             events: Vec::new(),
+            spare: Spare::default(),
             held_back: BTreeSet::new(),
             done_at: None,
             clock,
@@ -186,22 +201,40 @@
     pub fn run(&mut self, events: &mut EventLoop<'static, Gathered>) -> io::Result<()> {
         let mut gathered = Vec::new();
         while !self.ended() {
-            let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+            let timer = self.due();
             let next = [timer, self.door.next()].into_iter().flatten().min();
             let next = next.map_or(TICK, |at| at - self.clock.now());
             let at_once = !self.events.is_empty() || !self.over.is_empty() || self.clients.waits();
             let pause = if at_once { 0 } else { next.max(0) as u64 };
-            // The library's poller: time, its re-arming, the wait, its note and that re-armed.
-            add(&self.poll.calls.waits, 5);
-            events.dispatch(Some(Duration::from_micros(pause)), &mut gathered).map_err(io::Error::other)?;
+            if self.poll.wait(Duration::from_micros(pause), &mut gathered)? {
+                // The library's poller: time, its re-arming, the wait, its note and that re-armed.
+                add(&self.poll.calls.waits, 5);
+                events.dispatch(Some(Duration::ZERO), &mut gathered).map_err(io::Error::other)?;
+            }
             let now = self.clock.now();
             self.gather(&mut gathered, now);
-            self.hand_over(now, Vec::new());
+            let actions = std::mem::take(&mut self.spare.actions);
+            self.hand_over(now, actions);
         }
         info!(self.log, "ended");
         Ok(())
     }
 
+    /// When the next timer rings. Those of sends that have ended are passed over: each would wake the loop for nothing.
+    fn due(&mut self) -> Option<Micros> {
+        loop {
+            let Reverse((at, timer)) = *self.timers.peek()?;
+            match timer {
+                Timer::Send(conn, serial) | Timer::Connect(conn, serial)
+                    if !self.caches.out(conn, serial) =>
+                {
+                    self.timers.pop();
+                }
+                _ => return Some(at),
+            }
+        }
+    }
+
     fn ended(&mut self) -> bool {
         let now = self.clock.now();
         if self.listener.is_some() || !self.lookups.is_empty() {
@@ -223,7 +256,7 @@
                 .extend(std::mem::take(&mut self.held_back).into_iter().map(|key| (key, Readiness::EMPTY)));
         }
         gathered.extend(self.clients.more().into_iter().map(|n| (Key::Client(n), Readiness::EMPTY)));
-        gathered.sort_by_key(|(key, _)| *key);
+        gathered.sort_unstable_by_key(|(key, _)| *key);
         for (key, ready) in gathered.drain(..) {
             if let Err(panic) = contained(|| self.ready(key, ready, now)) {
                 error!(self.log, "panic at a connection"; "key" => ?key, "text" => panic);
@@ -284,7 +317,7 @@
                 if !room {
                     self.held_back.insert(key);
                 }
-                self.caches.handle(number, ready, room, now, &mut self.poll);
+                self.caches.handle(number, ready, room, &mut self.poll);
                 self.ends(now);
             }
             Key::Client(number) => {
@@ -383,31 +416,42 @@
 
     /// Sends that have ended become outcomes; the first that satisfies is the client's answer.
     fn ends(&mut self, now: Micros) {
-        for Ended { out, peer, result } in self.caches.ended() {
-            let Some(taken) = self.lookups.get_mut(&out.lookup) else { continue };
+        let mut ended = std::mem::take(&mut self.spare.ended);
+        self.caches.ended(&mut ended);
+        for ended in ended.drain(..) {
+            self.end(&ended, now);
+            // Only now may the body's place be used again.
+            self.caches.release(ended.conn, now, &self.poll);
+        }
+        self.spare.ended = ended;
+    }
+
+    fn end(&mut self, Ended { out, peer, result, conn }: &Ended, now: Micros) {
+        {
+            let Some(taken) = self.lookups.get_mut(&out.lookup) else { return };
             if let Some(send) = taken.sends.get_mut(usize::from(out.send)) {
                 *send = None;
             }
-            let ending = match &result {
-                Ok(answered) => answered.ending(),
+            let ending = match result {
+                Ok(head) => ending(head),
                 Err(fault) => fault.ending(),
             };
-            let machine = self.machines.name(peer);
-            match &result {
-                Ok(Answered { head, .. }) if ending != Ending::Satisfied => {
-                    debug!(self.log, "send unsatisfied"; "lookup" => &taken.request.txn, "at" => machine,
-                        "kind" => &taken.request.verb, "status" => head.status, "note" => head.note);
+            let machine = self.machines.name(*peer);
+            match result {
+                Ok(head) if ending != Ending::Satisfied => {
+                    debug!(self.log, "send unsatisfied"; "lookup" => taken.request.txn.as_str(), "at" => machine,
+                        "kind" => taken.request.verb.as_str(), "status" => head.status, "note" => head.note);
                 }
                 Ok(_) => {}
                 Err(fault) => {
-                    debug!(self.log, "send failed"; "lookup" => &taken.request.txn, "at" => machine,
+                    debug!(self.log, "send failed"; "lookup" => taken.request.txn.as_str(), "at" => machine,
                         "took" => now - out.at, "why" => %fault);
                 }
             }
             let mut outcome = Outcome {
                 id: out.lookup,
                 send: out.send,
-                peer,
+                peer: *peer,
                 ending,
                 took: now - out.at,
                 finished: false,
@@ -416,10 +460,10 @@
                 size_kb: 0.0,
                 report: Vec::new(),
             };
-            if let Ok(Answered { head, body }) = &result {
+            if let Ok(head) = result {
                 outcome.remark = remark(head.note);
                 outcome.first_byte = head.source_ms.map(|ms| (ms * 1e3) as Micros);
-                outcome.size_kb = body.len() as f64 * self.config.kb_per_byte;
+                outcome.size_kb = head.body as f64 * self.config.kb_per_byte;
                 outcome.report = report(&head.load, &self.config.reports);
                 if ending == Ending::Satisfied {
                     // What carries no note came from a machine that does not tell; it counts as one that had it.
@@ -427,7 +471,11 @@
                     taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb, left: false };
                     let current = head.status == 304;
                     let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
-                    self.answer(out.lookup, (frame::SATISFIED, fields, body), now);
+                    if let Some((client, stream)) = self.answered(out.lookup, now) {
+                        let body = self.caches.body(*conn, head);
+                        let answer = (frame::SATISFIED, fields, body);
+                        self.clients.answer((client, stream, out.lookup), answer, now, &self.poll);
+                    }
                 }
             }
             outcome.finished = self.lookups.get(&out.lookup).is_none_or(|taken| !taken.owed);
@@ -437,13 +485,21 @@
     }
 
     fn answer(&mut self, lookup: u32, answer: (u8, &[(&str, &str)], &[u8]), now: Micros) {
-        let Some(taken) = self.lookups.get_mut(&lookup).filter(|t| t.owed) else { return };
+        if let Some((client, stream)) = self.answered(lookup, now) {
+            self.clients.answer((client, stream, lookup), answer, now, &self.poll);
+        }
+    }
+
+    /// Whose answer it is, if one is still owed; from here on none is.
+    fn answered(&mut self, lookup: u32, now: Micros) -> Option<(u64, u32)> {
+        let taken = self.lookups.get_mut(&lookup).filter(|t| t.owed)?;
         taken.owed = false;
         if let Some(place) = taken.place.take() {
             self.door.ended(now, place, taken.done);
         }
-        self.clients.answer((taken.client, taken.stream, lookup), answer, now, &self.poll);
+        let whose = (taken.client, taken.stream);
         self.settle(lookup);
+        Some(whose)
     }
 
     /// Forgets a lookup that was answered once no send of it is out. Not before the module has heard so: until
@@ -459,7 +515,8 @@
             if self.named.get(&taken.request.id) == Some(&lookup) {
                 self.named.remove(&taken.request.id);
             }
-            self.lookups.remove(&lookup);
+            let taken = self.lookups.remove(&lookup);
+            taken.into_iter().for_each(|taken| self.clients.give_back(taken.request));
         }
     }
 
@@ -524,7 +581,9 @@
     }
 
     fn hear(&mut self, now: Micros) {
-        for heard in self.clients.heard() {
+        let mut all = std::mem::take(&mut self.spare.heard);
+        self.clients.heard(&mut all);
+        for heard in all.drain(..) {
             match heard {
                 Heard::Bad { client, fault } => {
                     debug!(self.log, "bad frame"; "client" => client, "why" => %fault)
@@ -544,6 +603,7 @@
                 }
             }
         }
+        self.spare.heard = all;
     }
 
     fn take(
@@ -569,7 +629,7 @@
         };
         let (asker, kind) = (self.names.asker(seen), usable.unwrap_or(0));
         let (size_kb, bytes) = (request.size_kb, request.body.len() as u32);
-        let (sends, done) = (Vec::new(), Done::default());
+        let (sends, done) = (SmallVec::new(), Done::default());
         let taken = Taken { client, stream, request, kind, expires, owed: true, place: None, done, sends };
         self.lookups.insert(lookup, taken);
         if let Err(what) = usable {
@@ -605,7 +665,7 @@
     /// No send was made, so to try again is harmless whatever the class.
     fn turn_away(&mut self, lookup: u32, away: Away, now: Micros) {
         if let Some(taken) = self.lookups.get(&lookup) {
-            debug!(self.log, "turned away"; "lookup" => &taken.request.txn, "client" => taken.client,
+            debug!(self.log, "turned away"; "lookup" => taken.request.txn.as_str(), "client" => taken.client,
                 "why" => %away.why, "come_back_ms" => away.come_back / 1000, "booked" => away.booked);
         }
         self.nack(lookup, away.come_back, now);
@@ -619,9 +679,9 @@
 
     /// Whose wait at the door is over.
     fn turns(&mut self, now: Micros) {
-        let mut turns = Vec::new();
+        let mut turns = std::mem::take(&mut self.spare.turns);
         self.door.turns(now, &mut turns);
-        for turn in turns {
+        for turn in turns.drain(..) {
             match turn {
                 Turn::In { id, tenant, waited } => {
                     let names = &self.door.plan().tenants;
@@ -638,6 +698,7 @@
                 }
             }
         }
+        self.spare.turns = turns;
     }
 
     /// Whether a lookup is one that the settings allow, and of which class. Caches answer others with an error,
@@ -663,10 +724,11 @@
 
     /// One batch to the module, then what it wants done.
     fn hand_over(&mut self, now: Micros, mut actions: Vec<Action>) {
-        let over = std::mem::take(&mut self.over);
+        let mut over = std::mem::replace(&mut self.over, std::mem::take(&mut self.spare.over));
         let module = &mut self.module;
         let mut failed = Vec::new();
-        for event in std::mem::take(&mut self.events) {
+        let mut events = std::mem::replace(&mut self.events, std::mem::take(&mut self.spare.events));
+        for event in events.drain(..) {
             let lookup = match &event {
                 Event::Asked(lk) => Some(lk.id),
                 Event::Ended(outcome) => Some(outcome.id),
@@ -677,7 +739,8 @@
                 failed.extend(lookup);
             }
         }
-        for action in actions {
+        self.spare.events = events;
+        for action in actions.drain(..) {
             let lookup = match &action {
                 Action::Send { id, .. } | Action::Nack { id, .. } | Action::Fail { id } => Some(*id),
                 _ => None,
@@ -687,15 +750,18 @@
                 failed.extend(lookup);
             }
         }
+        self.spare.actions = actions;
         for lookup in failed {
             self.answer(lookup, (frame::FAILED, &[], &[]), now);
             self.events.push(Event::Left { id: lookup });
         }
         self.ends(now);
-        over.into_iter().for_each(|lookup| self.forget(lookup));
+        over.drain(..).for_each(|lookup| self.forget(lookup));
+        self.spare.over = over;
         self.hear(now);
         // Places that have come free are given on at once.
         self.turns(now);
+        self.clients.flush(now, &self.poll);
     }
 
     fn carry_out(&mut self, action: Action, now: Micros) {
@@ -754,7 +820,9 @@
             known: request.seen.as_deref(),
             body: &request.body,
         };
-        let conn = self.caches.send(peer, address, &ask.write(), out, &mut self.poll);
+        self.spare.request.clear();
+        ask.write(&mut self.spare.request);
+        let conn = self.caches.send(peer, address, &self.spare.request, out, &mut self.poll);
         if let Some(conn) = conn {
             self.timers.push(Reverse((now + time_out, Timer::Send(conn, self.serial))));
             if self.caches.connecting(conn, self.serial) {
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -1,5 +1,7 @@
 //! The HTTP/1.1 spoken with caches, parents and the origin: bytes to answers and sends to bytes, no I/O.
 
+use compact_str::CompactString;
+use smallvec::SmallVec;
 use std::fmt;
 use std::io::Write;
 
@@ -31,8 +33,7 @@
 }
 
 impl Ask<'_> {
-    pub fn write(&self) -> Vec<u8> {
-        let mut out = Vec::with_capacity(512 + self.body.len());
+    pub fn write(&self, out: &mut Vec<u8>) {
         let (verb, item, slice) = (self.verb, self.item, self.slice);
         let mut line = |text: fmt::Arguments<'_>| {
             // A vector takes all.
@@ -58,16 +59,18 @@
             line(format_args!("Oldest-Ms: {}", self.oldest_ms));
         }
         let modes = [(self.ride, "ride"), (self.have_only, "have-only"), (self.update, "update")];
-        let modes: Vec<&str> = modes.into_iter().filter(|m| m.0).map(|m| m.1).collect();
-        if !modes.is_empty() {
-            line(format_args!("Modes: {}", modes.join("+")));
+        let mut named = modes.into_iter().filter(|m| m.0).map(|m| m.1);
+        if let Some(first) = named.next() {
+            let rest = [named.next(), named.next()];
+            let [second, third] =
+                rest.map(|mode| (if mode.is_some() { "+" } else { "" }, mode.unwrap_or("")));
+            line(format_args!("Modes: {first}{}{}{}{}", second.0, second.1, third.0, third.1));
         }
         if !self.body.is_empty() {
             line(format_args!("Content-Length: {}", self.body.len()));
         }
         line(format_args!(""));
         out.extend(self.body);
-        out
     }
 }
 
@@ -92,7 +95,7 @@
     /// Place of the note in the platform's order, from 1; 0 for none.
     pub note: usize,
     pub source_ms: Option<f64>,
-    pub load: Vec<(String, f64)>,
+    pub load: SmallVec<[(CompactString, f64); 4]>,
     /// Bytes of head and body.
     pub head: usize,
     pub body: usize,
@@ -164,7 +167,7 @@
             let pairs = text.split(';').filter_map(|pair| pair.split_once(':'));
             let read = |(name, value): (&str, &str)| {
                 let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite())?;
-                Some((name.trim().to_string(), value))
+                Some((CompactString::new(name.trim()), value))
             };
             answer.load = pairs.filter_map(read).collect();
         } else if is("Connection") {
@@ -205,9 +208,14 @@
         let want = "GET /data/segment/7f3a9c21e0b4d655/3 HTTP/1.1\r\nHost: 127.0.0.9:80\r\n\
             X-Req: 9b1f03aa5c7e2d41\r\nX-Wait-Ms: 900\r\nUpstream: s-00c41f7a\r\nRetain: 2\r\n\
             Modes: ride+update\r\n\r\n";
-        assert_eq!(String::from_utf8(ask.write()).unwrap(), want);
+        let text = |ask: &Ask<'_>| {
+            let mut out = Vec::new();
+            ask.write(&mut out);
+            String::from_utf8(out).unwrap()
+        };
+        assert_eq!(text(&ask), want);
         let write = Ask { body: b"xyz", unique: Some("5c0f"), oldest_ms: 7, ..ask };
-        let text = String::from_utf8(write.write()).unwrap();
+        let text = text(&write);
         assert!(text.starts_with("GET ") && text.ends_with("Content-Length: 3\r\n\r\nxyz"));
         assert!(text.contains("Idempotency-Key: 5c0f\r\n") && text.contains("Oldest-Ms: 7\r\n"));
     }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -9,6 +9,7 @@
 mod net;
 mod report;
 mod ring;
+mod sorted;
 
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Readiness};
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -1,11 +1,12 @@
 //! Caches, parents and the origin: one request at a time on a connection, and kept connections.
 
-use super::calls::add;
 use super::{Cause, Fault, Key, Link, Poll, Reach};
 use crate::http;
+use crate::sorted::Sorted;
 use calloop::Readiness;
+use compact_str::CompactString;
 use meadowrill_core::interface::{Ending, Micros, PeerIx};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 
@@ -26,29 +27,24 @@
     pub serial: u64,
 }
 
-pub struct Answered {
-    pub head: http::Answer,
-    pub body: Vec<u8>,
-}
-
-impl Answered {
-    pub fn ending(&self) -> Ending {
-        match (self.head.status, self.head.not_run) {
-            (200 | 304, _) => Ending::Satisfied,
-            (404, _) => Ending::Miss,
-            (503, true) => Ending::TurnedAway,
-            (504, true) => Ending::Moot,
-            // Whatever else a peer may say proves nothing.
-            _ => Ending::Error,
-        }
+/// What an answer stands for.
+pub fn ending(head: &http::Answer) -> Ending {
+    match (head.status, head.not_run) {
+        (200 | 304, _) => Ending::Satisfied,
+        (404, _) => Ending::Miss,
+        (503, true) => Ending::TurnedAway,
+        (504, true) => Ending::Moot,
+        // Whatever else a peer may say proves nothing.
+        _ => Ending::Error,
     }
 }
 
-/// The one end of a send.
+/// The one end of a send. The body of an answer stays with its connection until that is released.
 pub struct Ended {
     pub out: Out,
     pub peer: PeerIx,
-    pub result: Result<Answered, Fault>,
+    pub conn: u64,
+    pub result: Result<http::Answer, Fault>,
 }
 
 struct Conn {
@@ -59,6 +55,8 @@
     out: Option<Out>,
     head: Option<http::Answer>,
     interim: u32,
+    /// An answer is there and was not released yet: its bytes, and whether the connection may be used again.
+    answered: Option<(usize, bool)>,
     idle_since: Micros,
 }
 
@@ -90,7 +88,9 @@
             }
             self.link.inbound.drop_front(head.head);
         }
-        let whole = self.head.as_ref().is_some_and(|h| self.link.inbound.len() >= h.head + h.body);
+        let missing = self.head.as_ref().map(|h| (h.head + h.body).saturating_sub(self.link.inbound.len()));
+        self.link.expect(missing.unwrap_or(0));
+        let whole = missing == Some(0);
         if ended && !whole {
             return Err(Cause::Closed);
         }
@@ -101,8 +101,8 @@
 pub struct Caches {
     conns: HashMap<u64, Conn>,
     /// Kept connections by machine, the last used last, and by age.
-    kept: BTreeSet<(PeerIx, Micros, u64)>,
-    oldest: BTreeSet<(Micros, u64, PeerIx)>,
+    kept: Sorted<(PeerIx, Micros, u64)>,
+    oldest: Sorted<(Micros, u64, PeerIx)>,
     most: usize,
     life: Micros,
     ended: Vec<Ended>,
@@ -112,8 +112,8 @@
     pub fn new(most: usize, idle: Micros) -> Caches {
         Caches {
             conns: HashMap::new(),
-            kept: BTreeSet::new(),
-            oldest: BTreeSet::new(),
+            kept: Sorted::default(),
+            oldest: Sorted::default(),
             most,
             life: idle - BEFORE_IDLE.min(idle / 4),
             ended: Vec::new(),
@@ -121,13 +121,33 @@
     }
 
     /// The ends of sends since the last call.
-    pub fn ended(&mut self) -> Vec<Ended> {
-        std::mem::take(&mut self.ended)
+    pub fn ended(&mut self, into: &mut Vec<Ended>) {
+        into.append(&mut self.ended);
+    }
+
+    /// The body of an answer that was told and not released yet.
+    pub fn body(&self, number: u64, head: &http::Answer) -> &[u8] {
+        let whole = self.conns.get(&number).filter(|c| c.answered.is_some()).map(|c| c.link.inbound.whole());
+        whole.and_then(|bytes| bytes.get(head.head..head.head + head.body)).unwrap_or_default()
+    }
+
+    /// An answer has been passed on: its connection may be used again, or ends.
+    pub fn release(&mut self, number: u64, now: Micros, poll: &Poll) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        let Some((bytes, clean)) = conn.answered.take() else { return };
+        conn.link.inbound.drop_front(bytes);
+        (conn.idle_since, conn.interim) = (now, 0);
+        let peer = conn.peer;
+        self.kept.insert((peer, now, number));
+        self.oldest.insert((now, number, peer));
+        if !clean {
+            self.drop(number, poll);
+        }
     }
 
     /// Ends a send that was never made.
     pub fn refuse(&mut self, out: Out, peer: PeerIx, fault: Fault) {
-        self.ended.push(Ended { out, peer, result: Err(fault) });
+        self.ended.push(Ended { out, peer, conn: 0, result: Err(fault) });
     }
 
     /// Sends a request; how it ended is told by [`Caches::ended`], and the connection's number is returned as
@@ -166,20 +186,17 @@
         Some(number)
     }
 
-    fn reuse(&mut self, peer: PeerIx, address: SocketAddr, now: Micros, poll: &mut Poll) -> Option<u64> {
+    fn reuse(&mut self, peer: PeerIx, address: SocketAddr, now: Micros, poll: &Poll) -> Option<u64> {
         // What comes behind an answer, late, must not become the answer of the next lookup: a connection rests
-        // a little, and is looked at before it is used again.
+        // a little, and what came on it by this round's wait was dealt with before any client was read. A read here
+        // would see what came since, within a millisecond; what comes after it would still be taken for an answer.
         let rested = now - REST;
         while let Some(&(_, since, number)) =
-            self.kept.range((peer, 0, 0)..=(peer, rested, u64::MAX)).next_back()
+            self.kept.upto(&(peer, rested, u64::MAX)).filter(|k| k.0 == peer)
         {
             // A machine's address may have passed to another.
-            let quiet = |c: &mut Conn| {
-                c.address == address
-                    && matches!(poll.look(&mut c.link), Ok(false))
-                    && c.link.inbound.is_empty()
-            };
-            if self.conns.get_mut(&number).is_some_and(quiet) {
+            let quiet = |c: &Conn| c.address == address && c.link.quiet();
+            if self.conns.get(&number).is_some_and(quiet) {
                 self.unkeep(peer, since, number);
                 return Some(number);
             }
@@ -202,7 +219,8 @@
             let reach = if refused { Reach::Unconnected } else { Reach::Unsent };
             Fault { reach, cause: Cause::Io(e) }
         })?;
-        let conn = Conn { link, peer, address, up: false, out: None, head: None, interim: 0, idle_since: 0 };
+        let (out, head, answered) = (None, None, None);
+        let conn = Conn { link, peer, address, up: false, out, head, interim: 0, answered, idle_since: 0 };
         self.conns.insert(number, conn);
         Ok(number)
     }
@@ -230,13 +248,17 @@
 
     /// Closes the kept connections of a machine that is not to be used again.
     pub fn forget(&mut self, peer: PeerIx, poll: &Poll) {
-        let kept: Vec<u64> =
-            self.kept.range((peer, 0, 0)..(peer + 1, 0, 0)).map(|(_, _, number)| *number).collect();
+        let kept: Vec<u64> = self.kept.iter().filter(|k| k.0 == peer).map(|(_, _, number)| *number).collect();
         for number in kept {
             self.drop(number, poll);
         }
     }
 
+    /// Whether a send is still out there.
+    pub fn out(&self, number: u64, serial: u64) -> bool {
+        self.conns.get(&number).and_then(|c| c.out).is_some_and(|out| out.serial == serial)
+    }
+
     /// Whether a connection that a send began on is still not up.
     pub fn connecting(&self, number: u64, serial: u64) -> bool {
         let out = |c: &&Conn| c.out.is_some_and(|out| out.serial == serial);
@@ -248,30 +270,23 @@
         let Some(conn) = self.conns.get(&number) else { return };
         let Some(out) = conn.out.filter(|out| out.serial == serial) else { return };
         let fault = Fault { reach: conn.reach(), cause };
-        self.ended.push(Ended { out, peer: conn.peer, result: Err(fault) });
+        self.ended.push(Ended { out, peer: conn.peer, conn: number, result: Err(fault) });
         self.drop(number, poll);
     }
 
-    /// What became readable or writable; read only where there is room. The round's clock is for how long
-    /// connections have been idle.
-    pub fn handle(&mut self, number: u64, ready: Readiness, room: bool, now: Micros, poll: &mut Poll) {
+    /// What became readable or writable; read only where there is room.
+    pub fn handle(&mut self, number: u64, ready: Readiness, room: bool, poll: &mut Poll) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
         conn.link.heard(ready);
         let serial = conn.out.map(|out| out.serial);
         match Caches::exchange(conn, room, poll) {
             Ok(None) => {}
-            Ok(Some(answered)) => {
-                let clean =
-                    !answered.head.last && conn.link.inbound.is_empty() && conn.link.outbound.is_empty();
+            Ok(Some(head)) => {
+                let bytes = head.head + head.body;
+                let clean = !head.last && conn.link.inbound.len() == bytes && conn.link.outbound.is_empty();
+                conn.answered = Some((bytes, clean));
                 if let Some(out) = conn.out.take() {
-                    self.ended.push(Ended { out, peer: conn.peer, result: Ok(answered) });
-                }
-                (conn.idle_since, conn.interim) = (now, 0);
-                let peer = conn.peer;
-                self.kept.insert((peer, now, number));
-                self.oldest.insert((now, number, peer));
-                if !clean {
-                    self.drop(number, poll);
+                    self.ended.push(Ended { out, peer: conn.peer, conn: number, result: Ok(head) });
                 }
             }
             Err(cause) => match serial {
@@ -281,7 +296,7 @@
         }
     }
 
-    fn exchange(conn: &mut Conn, room: bool, poll: &mut Poll) -> Result<Option<Answered>, Cause> {
+    fn exchange(conn: &mut Conn, room: bool, poll: &mut Poll) -> Result<Option<http::Answer>, Cause> {
         if !conn.up {
             conn.up = conn.link.arrived().map_err(Cause::Io)?;
             if !conn.up {
@@ -293,10 +308,20 @@
         if !room {
             return flushed.map(|()| None).map_err(Cause::Io);
         }
-        let (ended, broken) = match poll.fill(&mut conn.link) {
-            Ok(ended) => (ended, None),
-            Err(e) => (true, Some(e)),
-        };
+        let (mut ended, mut broken) = (false, None);
+        if conn.answered.is_some() {
+            return Ok(None);
+        }
+        // Until the head is whole nobody knows how much there is to read.
+        while !ended && conn.link.readable && conn.link.inbound.room() > 0 {
+            (ended, broken) = match poll.fill_some(&mut conn.link) {
+                Ok(ended) => (ended, None),
+                Err(e) => (true, Some(e)),
+            };
+            if conn.out.is_none() || ended || !matches!(conn.read(false), Ok(false)) {
+                break;
+            }
+        }
         if conn.out.is_none() {
             // Nothing was asked, so whatever came means that it is not clean.
             let quiet = conn.link.inbound.is_empty() && !ended;
@@ -306,12 +331,8 @@
             Ok(false) => flushed.map(|()| None).map_err(Cause::Io),
             Ok(true) => {
                 let Some(mut head) = conn.head.take() else { return Ok(None) };
-                // Into the ring, out of it, and into the client's.
-                add(&poll.calls.copied, 3 * head.body as u64);
-                let body = conn.link.inbound.whole()[head.head..head.head + head.body].to_vec();
-                conn.link.inbound.drop_front(head.head + head.body);
                 head.last |= ended;
-                Ok(Some(Answered { head, body }))
+                Ok(Some(head))
             }
             Err(Cause::Closed) => Err(broken.map_or(Cause::Closed, Cause::Io)),
             Err(cause) => Err(cause),
@@ -328,7 +349,7 @@
 }
 
 /// A load report in the order of the settings; none where none came.
-pub fn report(load: &[(String, f64)], fields: &[String]) -> Vec<f64> {
+pub fn report(load: &[(CompactString, f64)], fields: &[String]) -> Vec<f64> {
     if load.is_empty() {
         return Vec::new();
     }
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -1,10 +1,11 @@
 //! Clients: frames in, lookups out, and never a second answer on a stream.
 
+use super::calls::add;
 use super::{Key, Link, Poll};
 use crate::frame::{self, Frame, Request, Who};
 use calloop::Readiness;
 use meadowrill_core::interface::Micros;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::{IpAddr, TcpStream};
 
@@ -13,6 +14,10 @@
 const MOST: (usize, usize) = (frame::ASKED, (OPEN + 1) * frame::LONGEST);
 /// Frames of one connection that are dealt with in a round: whoever floods waits for the others.
 const TURN: usize = 64;
+/// Bodies from this size on are written at once from where they are; smaller ones are copied, to be written together.
+const LARGE: usize = 16_384;
+/// Requests that are kept for those to come.
+const SPARE: usize = 256;
 /// Faulty frames after which a connection is done with.
 const FAULTS: u32 = 16;
 /// How long a connection may be silent before its first whole frame or within one, and how long it is kept
@@ -48,7 +53,8 @@
     link: Link,
     from: IpAddr,
     last_stream: u32,
-    open: BTreeMap<u32, u32>,
+    /// Streams with a lookup, in order; few.
+    open: Vec<(u32, u32)>,
     /// Nothing more is heard: the peer has ended its side, or no frame can be found any more.
     deaf: bool,
     ended: bool,
@@ -97,6 +103,12 @@
         self.deafen()
     }
 
+    /// The lookup of a stream that is done with.
+    fn done(&mut self, stream: u32) -> Option<u32> {
+        let at = self.open.iter().position(|open| open.0 == stream)?;
+        Some(self.open.remove(at).1)
+    }
+
     fn idle(&self) -> bool {
         self.open.is_empty() && self.link.outbound.is_empty()
     }
@@ -113,11 +125,36 @@
     }
 }
 
+/// Places of requests that are over, for those to come.
+#[derive(Default)]
+struct Spare(VecDeque<Box<Request>>);
+
+impl Spare {
+    fn give(&mut self, request: Box<Request>) {
+        if self.0.len() < SPARE {
+            self.0.push_back(request);
+        }
+    }
+
+    fn place(&mut self, request: Request) -> Box<Request> {
+        match self.0.pop_back() {
+            Some(mut place) => {
+                *place = request;
+                place
+            }
+            None => Box::new(request),
+        }
+    }
+}
+
 /// What a connection is read with.
 struct Says<'a> {
     number: u64,
     ready: bool,
     who: &'a Who,
+    lookups: &'a mut u32,
+    spare: &'a mut Spare,
+    heard: &'a mut Vec<Heard>,
 }
 
 pub struct Clients {
@@ -133,6 +170,10 @@
     /// Fields that tell who asks.
     pub who: Who,
     heard: Vec<Heard>,
+    /// Those with answers that were not written yet.
+    unwritten: Vec<u64>,
+    /// Requests that are over, for those to come.
+    spare: Spare,
 }
 
 impl Clients {
@@ -148,12 +189,29 @@
             parting: false,
             who: Who::default(),
             heard,
+            unwritten: Vec::new(),
+            spare: Spare::default(),
         }
     }
 
     /// What was heard since the last call.
-    pub fn heard(&mut self) -> Vec<Heard> {
-        std::mem::take(&mut self.heard)
+    pub fn heard(&mut self, into: &mut Vec<Heard>) {
+        into.append(&mut self.heard);
+    }
+
+    /// A request that is over.
+    pub fn give_back(&mut self, request: Box<Request>) {
+        self.spare.give(request);
+    }
+
+    /// Writes the answers of this round.
+    pub fn flush(&mut self, now: Micros, poll: &Poll) {
+        let mut unwritten = std::mem::take(&mut self.unwritten);
+        // One write for all answers of a client.
+        unwritten.sort_unstable();
+        unwritten.dedup();
+        unwritten.drain(..).for_each(|number| self.settle(number, Ok(()), now, poll));
+        self.unwritten = unwritten;
     }
 
     /// Those that are to be dealt with again although nothing new came.
@@ -208,7 +266,7 @@
             link,
             from,
             last_stream: 0,
-            open: BTreeMap::new(),
+            open: Vec::new(),
             deaf: false,
             ended: false,
             drains: None,
@@ -225,8 +283,9 @@
     pub fn handle(&mut self, number: u64, ready: Readiness, now: Micros, poll: &mut Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
         client.link.heard(ready);
-        let says = Says { number, ready: self.ready, who: &self.who };
-        let done = Clients::read(client, says, &mut self.lookups, &mut self.heard, now, poll);
+        let (lookups, spare, heard) = (&mut self.lookups, &mut self.spare, &mut self.heard);
+        let says = Says { number, ready: self.ready, who: &self.who, lookups, spare, heard };
+        let done = Clients::read(client, says, now, poll);
         if matches!(done, Ok(true)) {
             self.more.insert(number);
         }
@@ -236,9 +295,7 @@
     /// Takes one turn at what has come; true where there is more.
     fn read(
         client: &mut Client,
-        Says { number, ready, who }: Says<'_>,
-        lookups: &mut u32,
-        heard: &mut Vec<Heard>,
+        Says { number, ready, who, lookups, spare, heard }: Says<'_>,
         now: Micros,
         poll: &mut Poll,
     ) -> io::Result<bool> {
@@ -269,9 +326,9 @@
                 frame::ASK if new && client.open.len() < OPEN => match frame::request(payload, who) {
                     Ok(request) => {
                         *lookups = lookups.wrapping_add(1).max(1);
-                        client.open.insert(stream, *lookups);
+                        client.open.push((stream, *lookups));
                         let from = client.from;
-                        let request = Box::new(request);
+                        let request = spare.place(request);
                         heard.push(Heard::Asked { lookup: *lookups, client: number, from, stream, request });
                         None
                     }
@@ -279,7 +336,7 @@
                 },
                 frame::ASK => Some(frame::Fault::Unreadable("stream")),
                 frame::LEAVE => {
-                    heard.extend(client.open.remove(&stream).map(|lookup| Heard::Left { lookup }));
+                    heard.extend(client.done(stream).map(|lookup| Heard::Left { lookup }));
                     None
                 }
                 frame::READY => {
@@ -315,13 +372,21 @@
         poll: &Poll,
     ) {
         let Some(client) = self.conns.get_mut(&number) else { return };
-        if client.open.get(&stream) != Some(&lookup) {
+        if client.open.iter().all(|open| *open != (stream, lookup)) {
             return;
         }
-        client.open.remove(&stream);
+        client.done(stream);
         client.used_at = now;
-        let done =
-            client.put(&frame::head(frame::ANSWER, stream, Some(code), Some(fields), body.len()), body);
+        let head = frame::head(frame::ANSWER, stream, Some(code), Some(fields), body.len());
+        if body.len() < LARGE {
+            add(&poll.calls.copied, body.len() as u64);
+            if client.put(&head, body).is_ok() {
+                // Written at the end of the round, with what else there is for this client by then.
+                self.unwritten.push(number);
+                return;
+            }
+        }
+        let done = client.link.send(&head, body);
         self.settle(number, done, now, poll);
     }
 
@@ -354,7 +419,7 @@
     /// Ends a connection; what it still had open has left.
     pub fn drop(&mut self, number: u64, poll: &Poll) {
         let Some(client) = self.conns.remove(&number) else { return };
-        self.heard.extend(client.open.into_values().map(|lookup| Heard::Left { lookup }));
+        self.heard.extend(client.open.iter().map(|(_, lookup)| Heard::Left { lookup: *lookup }));
         client.link.close(poll);
     }
 
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -10,17 +10,23 @@
 use crate::http;
 use crate::ring::{Ring, Tally};
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use meadowrill_core::interface::Ending;
+use rustix::buffer::spare_capacity;
+use rustix::event::epoll;
+use rustix::event::Timespec;
 use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
 use std::fmt;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
+use std::time::Duration;
 
-/// Bytes read at once; a share of them goes into the ring of the connection.
-const SCRATCH: usize = 65_536;
+/// Connections that are told of in one wait; the others are told of in the next.
+const TOLD: usize = 1024;
+/// What belongs to no connection of ours: signals and listeners, which the library gathers.
+const LIBRARY: u64 = 0;
 
 /// Whom a readiness is about. Keys are never used twice, so one that comes late finds nobody.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -38,6 +44,28 @@
     Signal,
 }
 
+impl Key {
+    /// How a connection is told apart in a wait; the kind stands in front.
+    fn data(self) -> u64 {
+        match self {
+            Key::Journal(n) => 1 << 60 | n,
+            Key::Cache(n) => 2 << 60 | n,
+            Key::Client(n) => 3 << 60 | n,
+            _ => LIBRARY,
+        }
+    }
+
+    fn told(data: u64) -> Option<Key> {
+        let number = data & ((1 << 60) - 1);
+        match data >> 60 {
+            1 => Some(Key::Journal(number)),
+            2 => Some(Key::Cache(number)),
+            3 => Some(Key::Client(number)),
+            _ => None,
+        }
+    }
+}
+
 /// What the loop gathered in one round.
 pub type Gathered = Vec<(Key, Readiness)>;
 
@@ -47,12 +75,44 @@
     pub tally: Tally,
     pub calls: Rc<Calls>,
     next: u64,
-    scratch: Vec<u8>,
+    /// Connections are waited for here, and the library's own poller with them: that makes five calls each wait, with
+    /// two changes of what is watched, for a timer and a note that nothing here needs.
+    epoll: OwnedFd,
+    told: Vec<epoll::Event>,
 }
 
 impl Poll {
-    pub fn new(handle: LoopHandle<'static, Gathered>) -> Poll {
-        Poll { handle, tally: Tally::default(), calls: Rc::default(), next: 0, scratch: vec![0; SCRATCH] }
+    pub fn new(events: &EventLoop<'static, Gathered>) -> io::Result<Poll> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        epoll::add(&epoll, events, epoll::EventData::new_u64(LIBRARY), epoll::EventFlags::IN)?;
+        let (handle, tally, told) = (events.handle(), Tally::default(), Vec::with_capacity(TOLD));
+        Ok(Poll { handle, tally, calls: Rc::default(), next: 0, epoll, told })
+    }
+
+    /// Waits until something is ready, at most so long; true where the library has something to gather.
+    pub fn wait(&mut self, most: Duration, gathered: &mut Gathered) -> io::Result<bool> {
+        add(&self.calls.waits, 1);
+        // Whole milliseconds, upwards: the call that takes less is not there on all kernels, nor under tools.
+        let most = most.as_micros().div_ceil(1000) as i64;
+        let most = Timespec { tv_sec: most / 1000, tv_nsec: most % 1000 * 1_000_000 };
+        self.told.clear();
+        match epoll::wait(&self.epoll, spare_capacity(&mut self.told), Some(&most)) {
+            Ok(_) | Err(rustix::io::Errno::INTR) => {}
+            Err(e) => return Err(e.into()),
+        }
+        let mut library = false;
+        for event in &self.told {
+            let (data, flags) = (event.data.u64(), event.flags);
+            let Some(key) = Key::told(data) else {
+                library = true;
+                continue;
+            };
+            let any = |of: epoll::EventFlags| flags.intersects(of);
+            let error = any(epoll::EventFlags::ERR | epoll::EventFlags::HUP | epoll::EventFlags::RDHUP);
+            let (readable, writable) = (any(epoll::EventFlags::IN), any(epoll::EventFlags::OUT));
+            gathered.push((key, Readiness { readable, writable, error }));
+        }
+        Ok(library)
     }
 
     pub fn key(&mut self) -> u64 {
@@ -93,29 +153,45 @@
         add(&self.calls.connections, 2);
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
-        let stream = Rc::new(stream);
-        let token = self.watch(Rc::clone(&stream), key)?;
+        add(&self.calls.controls, 1);
+        // Told once at each change; closing the connection ends it.
+        let flags = epoll::EventFlags::IN | epoll::EventFlags::OUT | epoll::EventFlags::RDHUP;
+        let data = epoll::EventData::new_u64(key.data());
+        epoll::add(&self.epoll, &stream, data, flags | epoll::EventFlags::ET)?;
         let (inbound, outbound) = (Ring::new(most.0, &self.tally), Ring::new(most.1, &self.tally));
         let calls = Rc::clone(&self.calls);
-        Ok(Link { stream, calls, token, inbound, outbound, readable: false, writable: false, written: 0 })
+        Ok(Link {
+            stream,
+            calls,
+            inbound,
+            outbound,
+            readable: false,
+            writable: false,
+            ending: false,
+            expected: 0,
+            written: 0,
+        })
     }
 
     /// Reads what has come, as far as the ring takes it; true once the peer has ended its side.
     pub fn fill(&mut self, link: &mut Link) -> io::Result<bool> {
-        while link.readable {
-            let room = link.inbound.room().min(SCRATCH);
-            if room == 0 {
-                break;
-            }
-            match self.piece(link, room)? {
+        while link.readable && link.inbound.room() > 0 {
+            match link.piece()? {
                 Some(0) => return Ok(true),
-                Some(n) => link.inbound.put(&self.scratch[..n]).map_err(|_| ErrorKind::OutOfMemory)?,
+                Some(n) => link.expected = link.expected.saturating_sub(n),
                 None => {}
             }
         }
         Ok(false)
     }
 
+    /// One read; true once the peer has ended its side.
+    pub fn fill_some(&mut self, link: &mut Link) -> io::Result<bool> {
+        let read = link.piece()?;
+        link.expected = link.expected.saturating_sub(read.unwrap_or(0));
+        Ok(read == Some(0))
+    }
+
     /// The same where the loop may not have told yet that something has come.
     pub fn look(&mut self, link: &mut Link) -> io::Result<bool> {
         link.readable = true;
@@ -124,36 +200,24 @@
 
     /// Reads one piece of what has come and drops it; true once the peer has ended its side.
     pub fn discard(&mut self, link: &mut Link) -> io::Result<bool> {
-        Ok(self.piece(link, SCRATCH)? == Some(0))
-    }
-
-    /// One read: how much came, and none where nothing is there.
-    fn piece(&mut self, link: &mut Link, most: usize) -> io::Result<Option<usize>> {
-        add(&self.calls.reads, 1);
-        match (&*link.stream).read(&mut self.scratch[..most]) {
-            Ok(n) => {
-                link.readable &= n > 0;
-                Ok(Some(n))
-            }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                link.readable = false;
-                Ok(None)
-            }
-            Err(e) if e.kind() == ErrorKind::Interrupted => Ok(None),
-            Err(e) => Err(e),
-        }
+        let ended = link.piece()? == Some(0);
+        link.inbound.clear();
+        Ok(ended)
     }
 }
 
 /// A connection: who owns it is told by where it is kept.
 pub struct Link {
-    stream: Rc<TcpStream>,
+    stream: TcpStream,
     calls: Rc<Calls>,
-    token: RegistrationToken,
     pub inbound: Ring,
     pub outbound: Ring,
     pub readable: bool,
     pub writable: bool,
+    /// The peer has ended its side, or the connection has: reading comes to that end.
+    ending: bool,
+    /// Bytes that are known to come, so that they are read at once.
+    expected: usize,
     /// Bytes that the kernel has taken so far.
     pub written: u64,
 }
@@ -162,13 +226,32 @@
     pub fn heard(&mut self, ready: Readiness) {
         self.readable |= ready.readable || ready.error;
         self.writable |= ready.writable || ready.error;
+        self.ending |= ready.error;
+    }
+
+    /// One read: how much came, and none where nothing is there. What is less than could have come is all there is,
+    /// and the next is told anew; but the end of a peer that was told already is not told again.
+    fn piece(&mut self) -> io::Result<Option<usize>> {
+        add(&self.calls.reads, 1);
+        match self.inbound.read(self.expected, |into| (&self.stream).read(into)) {
+            Ok((n, most)) => {
+                self.readable &= n > 0 && (n == most || self.ending);
+                Ok(Some(n))
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                self.readable = false;
+                Ok(None)
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => Ok(None),
+            Err(e) => Err(e),
+        }
     }
 
     /// Hands on what the kernel takes now.
     pub fn flush(&mut self) -> io::Result<()> {
         while self.writable && !self.outbound.is_empty() {
             add(&self.calls.writes, 1);
-            match (&*self.stream).write_vectored(&self.outbound.slices()) {
+            match (&self.stream).write(self.outbound.whole()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => {
                     self.outbound.drop_front(n);
@@ -201,8 +284,44 @@
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
+    /// With its last descriptor a connection is no longer watched.
     pub fn close(self, poll: &Poll) {
-        poll.unwatch(self.token);
+        add(&poll.calls.connections, 1);
+    }
+
+    /// Nothing came that was not read, as far as was told.
+    pub fn quiet(&self) -> bool {
+        self.inbound.is_empty() && !self.readable && !self.ending
+    }
+
+    /// So many more bytes are known to come.
+    pub fn expect(&mut self, more: usize) {
+        self.expected = more;
+    }
+
+    /// Hands on `head` and `body`, the body as it is as far as the kernel takes it now; the rest is kept.
+    pub fn send(&mut self, head: &[u8], body: &[u8]) -> io::Result<()> {
+        let full = |_| io::Error::from(ErrorKind::OutOfMemory);
+        self.outbound.put(head).map_err(full)?;
+        let mut done = 0;
+        while self.writable && (done < body.len() || !self.outbound.is_empty()) {
+            add(&self.calls.writes, 1);
+            let pieces = [IoSlice::new(self.outbound.whole()), IoSlice::new(&body[done..])];
+            match (&self.stream).write_vectored(&pieces) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    let kept = n.min(self.outbound.len());
+                    self.outbound.drop_front(kept);
+                    done += n - kept;
+                    self.written += n as u64;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.writable = false,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        add(&self.calls.copied, (body.len() - done) as u64);
+        self.outbound.put(&body[done..]).map_err(full)
     }
 }
 
--- a/crates/front/src/ring.rs
+++ b/crates/front/src/ring.rs
@@ -1,20 +1,48 @@
-//! A bounded ring buffer, one for each direction of a connection, counted against the memory of the front.
+//! A bounded buffer, one for each direction of a connection, counted against the memory of the front. Bytes are read
+//! into it where they stay, in one piece for the codecs.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::IoSlice;
+use std::io;
 use std::rc::Rc;
 
-/// What a ring keeps of its memory in any case; of more, what is not used is given back, lest idle connections sit on what a burst took.
+/// What a buffer keeps of its memory in any case; of more, what is not used is given back, lest idle connections sit on what a burst took.
 const KEPT: usize = 4096;
+/// Buffers of the least and of large size that are kept for the next who needs one, and what is large.
+const SPARE: usize = 4;
+const LARGE: usize = 65_536;
 
-/// Bytes that all rings of the front hold at the moment.
+/// The most that spare buffers hold, of buffers bounded to `most` each.
+pub const fn spare_bytes(most: usize) -> usize {
+    SPARE * (most + KEPT)
+}
+
+/// Bytes that all buffers of the front hold at the moment.
 #[derive(Clone, Debug, Default)]
-pub struct Tally(Rc<Cell<usize>>);
+pub struct Tally {
+    bytes: Rc<Cell<usize>>,
+    spare: Rc<RefCell<[VecDeque<Vec<u8>>; 2]>>,
+}
 
 impl Tally {
     pub fn bytes(&self) -> usize {
-        self.0.get()
+        self.bytes.get()
+    }
+
+    /// Zeroed memory of so many bytes, or a spare one that is a little larger.
+    fn take(&self, size: usize, most: usize) -> Vec<u8> {
+        let spare = &mut self.spare.borrow_mut()[usize::from(size >= LARGE)];
+        let fits = |b: &Vec<u8>| b.len() >= size && b.len() <= most;
+        let at = spare.iter().position(fits);
+        at.and_then(|at| spare.remove(at)).unwrap_or_else(|| vec![0; size])
+    }
+
+    fn give(&self, buffer: Vec<u8>) {
+        let spare = &mut self.spare.borrow_mut()[usize::from(buffer.len() >= LARGE)];
+        if buffer.len() == KEPT || buffer.len() >= LARGE {
+            spare.push_front(buffer);
+            spare.truncate(SPARE);
+        }
     }
 }
 
@@ -22,27 +50,55 @@
 pub struct Full;
 
 pub struct Ring {
-    bytes: VecDeque<u8>,
+    /// All of it may be written to; what is held is from `start` to `end`.
+    bytes: Vec<u8>,
+    start: usize,
+    end: usize,
     most: usize,
     tally: Tally,
-    counted: usize,
 }
 
 impl Ring {
     pub fn new(most: usize, tally: &Tally) -> Ring {
-        Ring { bytes: VecDeque::new(), most, tally: tally.clone(), counted: 0 }
+        Ring { bytes: Vec::new(), start: 0, end: 0, most, tally: tally.clone() }
     }
 
     pub fn len(&self) -> usize {
-        self.bytes.len()
+        self.end - self.start
     }
 
     pub fn is_empty(&self) -> bool {
-        self.bytes.is_empty()
+        self.len() == 0
     }
 
     pub fn room(&self) -> usize {
-        self.most - self.bytes.len()
+        self.most - self.len()
+    }
+
+    /// Makes room behind what is held, which may be moved.
+    fn reserve(&mut self, more: usize) {
+        if self.bytes.len() - self.end >= more {
+            return;
+        }
+        if self.bytes.len() - self.len() >= more {
+            self.bytes.copy_within(self.start..self.end, 0);
+        } else {
+            // Doubled, but never past the bound: many buffers that each wait for the end of a longest frame
+            // would together hold twice what the bound allows for.
+            let size =
+                (self.len() + more).next_power_of_two().max(KEPT).min(self.most.max(self.len() + more));
+            self.hold(size);
+        }
+        (self.start, self.end) = (0, self.len());
+    }
+
+    /// Memory of another size, with what is held at its front. The places are the caller's to set.
+    fn hold(&mut self, size: usize) {
+        let mut bytes = if size == 0 { Vec::new() } else { self.tally.take(size, self.most) };
+        bytes[..self.len()].copy_from_slice(&self.bytes[self.start..self.end]);
+        let now = self.tally.bytes.get() + bytes.len() - self.bytes.len();
+        self.tally.bytes.set(now);
+        self.tally.give(std::mem::replace(&mut self.bytes, bytes));
     }
 
     /// All of it or nothing.
@@ -50,50 +106,56 @@
         if bytes.len() > self.room() {
             return Err(Full);
         }
-        let wanted = self.bytes.len() + bytes.len();
-        if wanted > self.bytes.capacity() {
-            // Doubled, but never past the bound: many rings that each wait for the end of a longest frame
-            // would together hold twice what the bound allows for.
-            let most = wanted.next_power_of_two().min(self.most);
-            self.bytes.reserve_exact(most - self.bytes.len());
-        }
-        self.bytes.extend(bytes);
-        self.count();
+        self.reserve(bytes.len());
+        self.bytes[self.end..self.end + bytes.len()].copy_from_slice(bytes);
+        self.end += bytes.len();
         Ok(())
     }
 
-    /// All that is held, in one piece for the codecs.
-    pub fn whole(&mut self) -> &[u8] {
-        self.bytes.make_contiguous()
+    /// Takes what `read` brings: as much as there is room for, or `expected` where more is known to come. Returns
+    /// how much came and how much could have.
+    pub fn read(
+        &mut self,
+        expected: usize,
+        read: impl FnOnce(&mut [u8]) -> io::Result<usize>,
+    ) -> io::Result<(usize, usize)> {
+        let more = expected.max(1).min(self.room());
+        if self.bytes.len() - self.end < more || self.bytes.is_empty() {
+            self.reserve(more);
+        }
+        let most = (self.bytes.len() - self.end).min(self.room());
+        let n = read(&mut self.bytes[self.end..self.end + most])?;
+        self.end += n;
+        Ok((n, most))
     }
 
-    pub fn slices(&self) -> [IoSlice<'_>; 2] {
-        let (first, second) = self.bytes.as_slices();
-        [IoSlice::new(first), IoSlice::new(second)]
+    /// All that is held, in one piece.
+    pub fn whole(&self) -> &[u8] {
+        &self.bytes[self.start..self.end]
     }
 
     pub fn drop_front(&mut self, n: usize) {
-        self.bytes.drain(..n);
-        if self.bytes.capacity() > KEPT.max(4 * self.bytes.len()) {
-            self.bytes.shrink_to(2 * self.bytes.len());
+        self.start += n;
+        debug_assert!(self.start <= self.end);
+        let len = self.len();
+        if self.bytes.len() > KEPT.max(4 * len) {
+            let size = (2 * len).max(KEPT).min(self.most);
+            self.hold(size);
+            (self.start, self.end) = (0, len);
+        } else if len == 0 {
+            (self.start, self.end) = (0, 0);
         }
-        self.count();
     }
 
     pub fn clear(&mut self) {
-        self.drop_front(self.bytes.len());
-    }
-
-    fn count(&mut self) {
-        let now = self.bytes.capacity();
-        self.tally.0.set(self.tally.0.get() + now - self.counted);
-        self.counted = now;
+        self.drop_front(self.len());
     }
 }
 
 impl Drop for Ring {
     fn drop(&mut self) {
-        self.tally.0.set(self.tally.0.get() - self.counted);
+        self.tally.bytes.set(self.tally.bytes.get() - self.bytes.len());
+        self.tally.give(std::mem::take(&mut self.bytes));
     }
 }
 
@@ -109,11 +171,27 @@
         ring.put(b"ijklmnop").unwrap();
         assert_eq!(ring.put(b"q"), Err(Full));
         assert_eq!((ring.len(), ring.room()), (10, 0));
-        let joined: Vec<u8> = ring.slices().iter().flat_map(|s| s.to_vec()).collect();
-        assert_eq!(joined, b"ghijklmnop");
         assert_eq!(ring.whole(), b"ghijklmnop");
     }
 
+    #[test]
+    fn what_is_read_stays_where_it_is_and_within_the_bound() {
+        let tally = Tally::default();
+        let mut ring = Ring::new(10_000, &tally);
+        let mut read = |expected| {
+            ring.read(expected, |into| {
+                into.fill(7);
+                Ok(into.len())
+            })
+        };
+        assert_eq!(read(1).unwrap(), (4096, 4096));
+        assert_eq!(read(5_000).unwrap().0, 5_904);
+        assert_eq!(read(9_000).unwrap(), (0, 0));
+        assert!(ring.read(1, |_| Err(io::ErrorKind::WouldBlock.into())).is_err());
+        assert_eq!((ring.len(), ring.room(), tally.bytes()), (10_000, 0, 10_000));
+        assert!(ring.whole().iter().all(|b| *b == 7));
+    }
+
     #[test]
     fn grows_by_doubling_but_not_past_its_bound() {
         let tally = Tally::default();
@@ -138,4 +216,16 @@
         drop(ring);
         assert_eq!(tally.bytes(), 0);
     }
+
+    #[test]
+    fn spare_memory_is_used_again_and_bounded() {
+        let tally = Tally::default();
+        let mut rings: Vec<Ring> = (0..10).map(|_| Ring::new(200_000, &tally)).collect();
+        rings.iter_mut().for_each(|ring| ring.put(&[7; 100_000]).unwrap());
+        rings.iter_mut().for_each(Ring::clear);
+        assert_eq!((tally.bytes(), tally.spare.borrow()[1].len()), (10 * KEPT, SPARE));
+        rings[0].put(&[8; 100_000]).unwrap();
+        assert_eq!((tally.bytes(), tally.spare.borrow()[1].len()), (9 * KEPT + 131_072, SPARE - 1));
+        assert!(rings[0].whole().iter().all(|b| *b == 8));
+    }
 }
