Tidy: one loop writes to a connection, one step reads from it, one test of a send that is out

Link::flush and Link::send held the same loop of writes (now Link::pass), Poll::fill the step of fill_some, Caches::connecting the test of Caches::out; Front::end kept a block that its loop had needed; the longest queue told a flow that nobody used; the demo flushed what a line had flushed.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -429,61 +429,59 @@
     }
 
     fn end(&mut self, Ended { out, peer, result, conn }: &Ended, now: Micros) {
-        {
-            let Some(taken) = self.lookups.get_mut(&out.lookup) else { return };
-            if let Some(send) = taken.sends.get_mut(usize::from(out.send)) {
-                *send = None;
-            }
-            let ending = match result {
-                Ok(head) => ending(head),
-                Err(fault) => fault.ending(),
-            };
-            let machine = self.machines.name(*peer);
-            match result {
-                Ok(head) if ending != Ending::Satisfied => {
-                    debug!(self.log, "send unsatisfied"; "lookup" => taken.request.txn.as_str(), "at" => machine,
+        let Some(taken) = self.lookups.get_mut(&out.lookup) else { return };
+        if let Some(send) = taken.sends.get_mut(usize::from(out.send)) {
+            *send = None;
+        }
+        let ending = match result {
+            Ok(head) => ending(head),
+            Err(fault) => fault.ending(),
+        };
+        let machine = self.machines.name(*peer);
+        match result {
+            Ok(head) if ending != Ending::Satisfied => {
+                debug!(self.log, "send unsatisfied"; "lookup" => taken.request.txn.as_str(), "at" => machine,
                         "kind" => taken.request.verb.as_str(), "status" => head.status, "note" => head.note);
-                }
-                Ok(_) => {}
-                Err(fault) => {
-                    debug!(self.log, "send failed"; "lookup" => taken.request.txn.as_str(), "at" => machine,
+            }
+            Ok(_) => {}
+            Err(fault) => {
+                debug!(self.log, "send failed"; "lookup" => taken.request.txn.as_str(), "at" => machine,
                         "took" => now - out.at, "why" => %fault);
-                }
             }
-            let mut outcome = Outcome {
-                id: out.lookup,
-                send: out.send,
-                peer: *peer,
-                ending,
-                took: now - out.at,
-                finished: false,
-                remark: Remark::None,
-                first_byte: None,
-                size_kb: 0.0,
-                report: Vec::new(),
-            };
-            if let Ok(head) = result {
-                outcome.remark = remark(head.note);
-                outcome.first_byte = head.source_ms.map(|ms| (ms * 1e3) as Micros);
-                outcome.size_kb = head.body as f64 * self.config.kb_per_byte;
-                outcome.report = report(&head.load, &self.config.reports);
-                if ending == Ending::Satisfied {
-                    // What carries no note came from a machine that does not tell; it counts as one that had it.
-                    let hit = matches!(outcome.remark, Remark::Hit | Remark::None);
-                    taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb, left: false };
-                    let current = head.status == 304;
-                    let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
-                    if let Some((client, stream)) = self.answered(out.lookup, now) {
-                        let body = self.caches.body(*conn, head);
-                        let answer = (frame::SATISFIED, fields, body);
-                        self.clients.answer((client, stream, out.lookup), answer, now, &self.poll);
-                    }
+        }
+        let mut outcome = Outcome {
+            id: out.lookup,
+            send: out.send,
+            peer: *peer,
+            ending,
+            took: now - out.at,
+            finished: false,
+            remark: Remark::None,
+            first_byte: None,
+            size_kb: 0.0,
+            report: Vec::new(),
+        };
+        if let Ok(head) = result {
+            outcome.remark = remark(head.note);
+            outcome.first_byte = head.source_ms.map(|ms| (ms * 1e3) as Micros);
+            outcome.size_kb = head.body as f64 * self.config.kb_per_byte;
+            outcome.report = report(&head.load, &self.config.reports);
+            if ending == Ending::Satisfied {
+                // What carries no note came from a machine that does not tell; it counts as one that had it.
+                let hit = matches!(outcome.remark, Remark::Hit | Remark::None);
+                taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb, left: false };
+                let current = head.status == 304;
+                let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
+                if let Some((client, stream)) = self.answered(out.lookup, now) {
+                    let body = self.caches.body(*conn, head);
+                    let answer = (frame::SATISFIED, fields, body);
+                    self.clients.answer((client, stream, out.lookup), answer, now, &self.poll);
                 }
             }
-            outcome.finished = self.lookups.get(&out.lookup).is_none_or(|taken| !taken.owed);
-            self.events.push(Event::Ended(outcome));
-            self.settle(out.lookup);
         }
+        outcome.finished = self.lookups.get(&out.lookup).is_none_or(|taken| !taken.owed);
+        self.events.push(Event::Ended(outcome));
+        self.settle(out.lookup);
     }
 
     fn answer(&mut self, lookup: u32, answer: (u8, &[(&str, &str)], &[u8]), now: Micros) {
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -261,8 +261,7 @@
 
     /// Whether a connection that a send began on is still not up.
     pub fn connecting(&self, number: u64, serial: u64) -> bool {
-        let out = |c: &&Conn| c.out.is_some_and(|out| out.serial == serial);
-        self.conns.get(&number).filter(out).is_some_and(|c| !c.up)
+        self.out(number, serial) && self.conns.get(&number).is_some_and(|c| !c.up)
     }
 
     /// Ends a send and its connection, if it is still out there.
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -176,10 +176,8 @@
     /// Reads what has come, as far as the ring takes it; true once the peer has ended its side.
     pub fn fill(&mut self, link: &mut Link) -> io::Result<bool> {
         while link.readable && link.inbound.room() > 0 {
-            match link.piece()? {
-                Some(0) => return Ok(true),
-                Some(n) => link.expected = link.expected.saturating_sub(n),
-                None => {}
+            if self.fill_some(link)? {
+                return Ok(true);
             }
         }
         Ok(false)
@@ -249,12 +247,21 @@
 
     /// Hands on what the kernel takes now.
     pub fn flush(&mut self) -> io::Result<()> {
-        while self.writable && !self.outbound.is_empty() {
+        self.pass(&[]).map(drop)
+    }
+
+    /// Hands on what is kept and then `body`, as far as the kernel takes them now; how much of the body it took.
+    fn pass(&mut self, body: &[u8]) -> io::Result<usize> {
+        let mut done = 0;
+        while self.writable && (done < body.len() || !self.outbound.is_empty()) {
             add(&self.calls.writes, 1);
-            match (&self.stream).write(self.outbound.whole()) {
+            let pieces = [IoSlice::new(self.outbound.whole()), IoSlice::new(&body[done..])];
+            match (&self.stream).write_vectored(&pieces) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => {
-                    self.outbound.drop_front(n);
+                    let kept = n.min(self.outbound.len());
+                    self.outbound.drop_front(kept);
+                    done += n - kept;
                     self.written += n as u64;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => self.writable = false,
@@ -262,7 +269,7 @@
                 Err(e) => return Err(e),
             }
         }
-        Ok(())
+        Ok(done)
     }
 
     /// Whether a connection that was begun is up.
@@ -303,23 +310,7 @@
     pub fn send(&mut self, head: &[u8], body: &[u8]) -> io::Result<()> {
         let full = |_| io::Error::from(ErrorKind::OutOfMemory);
         self.outbound.put(head).map_err(full)?;
-        let mut done = 0;
-        while self.writable && (done < body.len() || !self.outbound.is_empty()) {
-            add(&self.calls.writes, 1);
-            let pieces = [IoSlice::new(self.outbound.whole()), IoSlice::new(&body[done..])];
-            match (&self.stream).write_vectored(&pieces) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(n) => {
-                    let kept = n.min(self.outbound.len());
-                    self.outbound.drop_front(kept);
-                    done += n - kept;
-                    self.written += n as u64;
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.writable = false,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
+        let done = self.pass(body)?;
         add(&self.calls.copied, (body.len() - done) as u64);
         self.outbound.put(&body[done..]).map_err(full)
     }
--- a/crates/standins/src/demo.rs
+++ b/crates/standins/src/demo.rs
@@ -5,7 +5,6 @@
 use crate::program::Site;
 use crate::service::{Directory, Service};
 use crate::{Journal, Program};
-use std::io::{IsTerminal, Write};
 use std::time::{Duration, Instant};
 
 /// Boxes: workers each, and how long a lookup keeps one. Together they serve 600 a second.
@@ -74,9 +73,6 @@
         let row = [0, 1].map(|at| [0, 1, 2].map(|n| now[at][n] - last[at][n]));
         let [q, l] = row.map(|[asked, good, away]| format!("{asked:>10} {good:>11} {away:>11}"));
         println!("{second:>4}  {q:>34}  {l:>34}");
-        if std::io::stdout().is_terminal() {
-            let _ = std::io::stdout().flush();
-        }
         last = now;
     }
     let (_, times) = quiet.end();
--- a/crates/turns/src/door.rs
+++ b/crates/turns/src/door.rs
@@ -332,7 +332,7 @@
             if self.fair.waiting() >= self.plan.waiting_most {
                 let even = self.plan.waiting_most as u32 / self.fair.active_flows().max(1);
                 let longest = self.fair.longest();
-                let Some((item, _)) = longest.filter(|_| self.fair.waiting_in(flow) < even.max(1)) else {
+                let Some(item) = longest.filter(|_| self.fair.waiting_in(flow) < even.max(1)) else {
                     return Verdict::Away(self.advise(now, asker, flow, offer.kind, Why::Crowded));
                 };
                 self.give_up(now, item, Why::Crowded);
--- a/crates/turns/src/fair.rs
+++ b/crates/turns/src/fair.rs
@@ -411,7 +411,7 @@
     }
 
     /// The last one of the longest queue: whose place another may have when all places are taken.
-    pub fn longest(&self) -> Option<(u32, u32)> {
+    pub fn longest(&self) -> Option<u32> {
         let by = |a: f64, b: f64| a.total_cmp(&b);
         let load = |g: &Group| f64::from(g.waiting) / g.weight;
         let group = self.groups.iter().filter(|g| g.waiting > 0).max_by(|a, b| by(load(a), load(b)))?;
@@ -420,7 +420,7 @@
         let lanes = &self.flows[flow as usize].lanes;
         let weight = |l: usize| self.lanes.iter().find(|k| usize::from(k.0) == l).map_or(0.0, |k| k.1);
         let lane = (0..LANES).filter(|l| lanes[*l].tail != NONE).min_by(|a, b| by(weight(*a), weight(*b)))?;
-        Some((lanes[lane].tail, flow))
+        Some(lanes[lane].tail)
     }
 
     /// One was let in by a former set of queues, and counts here now.
