--- /dev/null
+++ b/crates/rig/tests/model.rs
@@ -0,0 +1,211 @@
+//! Whole fleets of real views in one process, by seed: starts, deaths, splits, pauses, losses, garbage.
+
+use meadowrill_members::claim::State;
+use meadowrill_members::plan::SEC;
+use meadowrill_members::view::{Change, View};
+use meadowrill_rig::model::{name, Config, Fleet, Network};
+
+fn started(many: usize, seed: u64) -> Fleet<View> {
+    let mut fleet = Fleet::views(Config::new(many, seed));
+    fleet.start_all();
+    let at = fleet.run_until(fleet.now + 30 * SEC, Fleet::settled);
+    assert!(at.is_some(), "{many} fronts did not settle");
+    fleet
+}
+
+fn settles(fleet: &mut Fleet<View>, within: i64, what: &str) -> i64 {
+    let begin = fleet.now;
+    let at = fleet.run_until(begin + within, Fleet::settled);
+    let took = at.map(|at| at - begin);
+    println!("{what}: settled after {took:?} us");
+    took.unwrap_or_else(|| panic!("{what}: not settled within {within} us"))
+}
+
+#[test]
+fn a_cold_start_settles_at_any_size() {
+    for many in [2, 3, 10, 100] {
+        let mut fleet = Fleet::views(Config::new(many, 1));
+        fleet.start_all();
+        settles(&mut fleet, 10 * SEC, &format!("{many} at once"));
+    }
+}
+
+#[test]
+fn a_death_is_known_to_all_within_four_periods() {
+    for seed in 0..10 {
+        let mut fleet = started(50, seed);
+        fleet.run(5 * SEC);
+        fleet.kill(7);
+        let killed = fleet.now;
+        let at = fleet.run_until(killed + 10 * SEC, |f| f.gone(7)).expect("never found dead");
+        println!("seed {seed}: dead at all after {} us", at - killed);
+        assert!(at - killed <= 4 * SEC, "seed {seed}: {} us", at - killed);
+        let others = fleet.called_dead(killed).into_iter().filter(|(n, ..)| *n != name(7)).count();
+        assert_eq!(others, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_restart_is_known_within_one_period() {
+    let mut fleet = started(50, 3);
+    fleet.run(5 * SEC);
+    fleet.kill(9);
+    fleet.run(SEC / 5);
+    fleet.start(9);
+    let begin = fleet.now;
+    let later = fleet.now as u64;
+    let known = |f: &Fleet<View>| {
+        let knows = |n: usize| {
+            f.view(n).is_none_or(|v| {
+                n == 9
+                    || v.members()
+                        .any(|(m, it)| m == name(9) && it.claim.start == later && it.claim.state.here())
+            })
+        };
+        (0..50).all(knows)
+    };
+    let at = fleet.run_until(begin + 5 * SEC, known).expect("restart not known");
+    assert!(at - begin <= SEC, "{} us", at - begin);
+}
+
+#[test]
+fn most_dying_at_once_settles() {
+    let mut fleet = started(60, 5);
+    fleet.run(5 * SEC);
+    let killed = fleet.now;
+    (0..42).for_each(|n| fleet.kill(n + 10));
+    settles(&mut fleet, 15 * SEC, "70 % killed");
+    // None of those that live was called dead on the way.
+    let wrong: Vec<_> = fleet
+        .called_dead(killed)
+        .into_iter()
+        .filter(|(n, ..)| (0..10).chain(52..60).any(|k| *n == name(k)))
+        .collect();
+    assert!(wrong.is_empty(), "{wrong:?}");
+    (0..42).for_each(|n| fleet.start(n + 10));
+    settles(&mut fleet, 10 * SEC, "restarted");
+}
+
+#[test]
+fn a_split_settles_on_both_sides_and_heals_by_itself() {
+    for seed in 0..4 {
+        let mut fleet = started(40, seed);
+        fleet.split(|n| u8::from(n >= 15));
+        let at = fleet.run_until(fleet.now + 20 * SEC, |f| f.right());
+        assert!(at.is_some(), "the sides did not settle");
+        fleet.run(5 * SEC);
+        fleet.heal();
+        settles(&mut fleet, 5 * SEC, "healed");
+    }
+}
+
+#[test]
+fn loss_and_short_stops_call_nobody_dead() {
+    let mut fleet = started(60, 9);
+    fleet.network = Network { loss: 0.1, doubled: 0.02, garbled: 0.01, ..Network::default() };
+    let begin = fleet.now;
+    for round in 0..60 {
+        for n in (0..60).filter(|n| (n + round) % 5 == 0) {
+            fleet.pause(n, SEC / 2);
+        }
+        fleet.run(SEC);
+    }
+    let dead = fleet.called_dead(begin);
+    assert!(dead.is_empty(), "{dead:?}");
+    fleet.network = Network::default();
+    settles(&mut fleet, 10 * SEC, "calm again");
+}
+
+#[test]
+fn one_that_is_stopped_for_long_knows_it_and_judges_nobody() {
+    let mut fleet = started(30, 4);
+    let begin = fleet.now;
+    fleet.pause(3, 8 * SEC);
+    fleet.run(8 * SEC);
+    assert!(
+        fleet.gone(3)
+            || fleet
+                .view(0)
+                .is_some_and(|v| v.members().any(|(n, m)| n == name(3) && m.claim.state == State::Dead))
+    );
+    settles(&mut fleet, 5 * SEC, "resumed");
+    let wrong: Vec<_> = fleet.called_dead(begin).into_iter().filter(|(n, ..)| *n != name(3)).collect();
+    assert!(wrong.is_empty(), "{wrong:?}");
+    let away = fleet
+        .seen
+        .iter()
+        .any(|s| s.by == 3 && matches!(s.change, Change::WasAway { span } if span > 7 * SEC));
+    assert!(away, "it did not notice");
+}
+
+#[test]
+fn one_that_hears_nobody_settles_on_dead_and_does_not_swing() {
+    let mut fleet = started(20, 8);
+    (0..20).filter(|n| *n != 4).for_each(|n| {
+        fleet.cut.insert((n, 4), ());
+    });
+    fleet.run(30 * SEC);
+    let begin = fleet.now;
+    fleet.run(60 * SEC);
+    let changes: Vec<_> = fleet
+        .seen
+        .iter()
+        .filter(|s| s.at >= begin && s.by != 4 && matches!(s.change, Change::Member { .. }))
+        .collect();
+    assert!(changes.len() <= 2, "{changes:?}");
+    assert!(fleet.view(0).unwrap().members().all(|(n, m)| (n == name(4)) != m.claim.state.here()));
+    fleet.heal();
+    settles(&mut fleet, 10 * SEC, "heard again");
+}
+
+#[test]
+fn one_link_cut_one_way_changes_nothing() {
+    let mut fleet = started(20, 8);
+    let begin = fleet.now;
+    for n in 0..5 {
+        fleet.cut.insert((n, 10 + n), ());
+    }
+    fleet.run(60 * SEC);
+    assert!(fleet.called_dead(begin).is_empty());
+}
+
+#[test]
+fn leaving_is_told_and_confirmed() {
+    let mut fleet = started(20, 2);
+    fleet.leave(6);
+    fleet.run(SEC);
+    assert!(fleet.view(6).unwrap().left());
+    fleet.kill(6);
+    assert!(fleet.gone(6));
+    let left = fleet.view(0).unwrap().members().any(|(n, m)| n == name(6) && m.claim.state == State::Left);
+    assert!(left);
+}
+
+#[test]
+fn the_dead_are_forgotten_and_do_not_come_back() {
+    let mut fleet = Fleet::views(Config { remember: 20 * SEC, ..Config::new(10, 6) });
+    fleet.start_all();
+    settles(&mut fleet, 10 * SEC, "started");
+    fleet.kill(4);
+    fleet.run(60 * SEC);
+    for n in (0..10).filter(|n| *n != 4) {
+        assert!(fleet.view(n).unwrap().members().all(|(m, _)| m != name(4)), "front {n} still has it");
+    }
+    // Split for longer than that: all that are forgotten come back by a later start of their own.
+    fleet.start(4);
+    settles(&mut fleet, 5 * SEC, "back");
+    fleet.split(|n| u8::from(n >= 5));
+    fleet.run(90 * SEC);
+    fleet.heal();
+    settles(&mut fleet, 10 * SEC, "healed after all was forgotten");
+}
+
+#[test]
+fn a_clock_that_stepped_back_keeps_nobody_out() {
+    let mut fleet = started(12, 7);
+    fleet.kill(5);
+    fleet.run(SEC / 2);
+    let earlier = fleet.now as u64 - 3_600_000_000;
+    fleet.start_as(5, earlier);
+    settles(&mut fleet, 10 * SEC, "started an hour earlier");
+}
