--- a/crates/front/src/cli.rs
+++ b/crates/front/src/cli.rs
@@ -34,6 +34,14 @@
         /// Its operators' socket, as in its settings
         socket: PathBuf,
     },
+    /// Ask a running front how it sees the fleet
+    Fleet {
+        /// Its operators' socket, as in its settings
+        socket: PathBuf,
+        /// As JSON
+        #[arg(long)]
+        json: bool,
+    },
     /// Ask a running front for its metrics, as scrapers read them
     Metrics {
         /// Its operators' socket, as in its settings
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -216,6 +216,9 @@
         if own.socket != self.own.socket {
             later.push("operators.socket");
         }
+        if own.fleet != self.own.fleet {
+            later.push("fleet");
+        }
         let fixed = ["name", "listen", "seed", "limits", "settings", "flow_bytes_per_s", "link_bytes_per_s"];
         later.extend(fixed.into_iter().filter(|key| self.text.get(key) != fresh.text.get(key)));
         later
--- /dev/null
+++ b/crates/front/src/front/actions.rs
@@ -0,0 +1,125 @@
+//! One batch of events to the decisions, and carrying out what comes back.
+
+use super::clock::Timer;
+use super::Front;
+use crate::frame;
+use crate::http;
+use crate::net::caches::Out;
+use crate::net::{Cause, Fault, Reach};
+use meadowrill_core::door::contained;
+use meadowrill_core::interface::*;
+use slog::{error, info};
+use std::cmp::Reverse;
+
+impl Front {
+    /// One batch to the module, then what it wants done.
+    pub(super) fn hand_over(&mut self, now: Micros, mut actions: Vec<Action>) {
+        let mut over = std::mem::replace(&mut self.over, std::mem::take(&mut self.spare.over));
+        let module = &mut self.module;
+        let mut failed = Vec::new();
+        let mut events = std::mem::replace(&mut self.events, std::mem::take(&mut self.spare.events));
+        for event in events.drain(..) {
+            let lookup = match &event {
+                Event::Asked(lk) => Some(lk.id),
+                Event::Ended(outcome) => Some(outcome.id),
+                _ => None,
+            };
+            if let Err(panic) = contained(|| module.hear(now, event, &mut actions)) {
+                error!(self.log, "panic in the decisions"; "text" => panic);
+                failed.extend(lookup);
+            }
+        }
+        self.spare.events = events;
+        for action in actions.drain(..) {
+            let lookup = match &action {
+                Action::Send { id, .. } | Action::Nack { id, .. } | Action::Fail { id } => Some(*id),
+                _ => None,
+            };
+            if let Err(panic) = contained(|| self.carry_out(action, now)) {
+                error!(self.log, "panic at an action"; "text" => panic);
+                failed.extend(lookup);
+            }
+        }
+        self.spare.actions = actions;
+        for lookup in failed {
+            self.answer(lookup, (frame::FAILED, &[], &[]), now);
+            self.events.push(Event::Left { id: lookup });
+        }
+        self.ends(now);
+        over.drain(..).for_each(|lookup| self.forget(lookup));
+        self.spare.over = over;
+        self.hear(now);
+        // Places that have come free are given on at once.
+        self.turns(now);
+        self.clients.flush(now, &self.poll);
+    }
+
+    pub(super) fn carry_out(&mut self, action: Action, now: Micros) {
+        match action {
+            Action::Send { id, peer, time_out, fill } => self.send(id, peer, time_out, fill, now),
+            Action::Nack { id, come_back } => self.nack(id, come_back, now),
+            Action::Fail { id } => self.answer(id, (frame::FAILED, &[], &[]), now),
+            Action::Cancel { id, send } => {
+                let out =
+                    self.lookups.get(&id).and_then(|t| t.sends.get(usize::from(send)).copied().flatten());
+                if let Some((number, serial)) = out {
+                    self.caches.fail(number, serial, Cause::Withdrawn, &self.poll);
+                }
+            }
+            Action::Ring { at, token } => self.timers.push(Reverse((at, Timer::Ring(token)))),
+            // The journal service tells unasked.
+            Action::Subscribe => {}
+            Action::Forget { peer } => {
+                self.caches.forget(peer, &self.poll);
+                self.addresses.remove(&peer);
+                self.machines.forget(peer);
+            }
+            Action::Log(text) => info!(self.log, "{}", text),
+        }
+    }
+
+    pub(super) fn send(&mut self, id: u32, peer: PeerIx, time_out: Micros, fill: Option<Fill>, now: Micros) {
+        let Some(taken) = self.lookups.get_mut(&id) else { return };
+        let (number, left) = (taken.sends.len() as u8, taken.expires - now);
+        self.serial += 1;
+        let out = Out { lookup: id, send: number, at: now, serial: self.serial };
+        let time_out = if time_out == 0 { left } else { time_out.min(left) };
+        let address = self.addresses.get(&peer).filter(|_| taken.owed && time_out > 0);
+        let Some((address, host)) = address else {
+            taken.sends.push(None);
+            let fault = Fault { reach: Reach::Unsent, cause: Cause::TimeUp };
+            self.caches.refuse(out, peer, fault);
+            return;
+        };
+        let request = &taken.request;
+        let ask = http::Ask {
+            host,
+            verb: &request.verb,
+            item: &request.item,
+            slice: request.slice,
+            txn: &request.txn,
+            wait_ms: (time_out / 1000).max(1),
+            unique: request.unique.as_deref(),
+            upstream: fill.filter(|f| f.source != peer).map(|f| self.machines.name(f.source).as_str()),
+            retain: fill.map_or(0, |f| f.keep),
+            // Rounded down: an age limit guards against copies from before a purge. 0 would lift it.
+            oldest_ms: fill.filter(|f| f.age > 0).map_or(0, |f| (f.age / 1000).max(1)),
+            ride: fill.is_some_and(|f| f.join),
+            have_only: fill.is_some_and(|f| f.held_only),
+            update: fill.is_some_and(|f| f.renew),
+            known: request.seen.as_deref(),
+            body: &request.body,
+        };
+        self.spare.request.clear();
+        ask.write(&mut self.spare.request);
+        let conn = self.caches.send(peer, *address, &self.spare.request, out, &mut self.poll);
+        if let Some(conn) = conn {
+            self.timers.push(Reverse((now + time_out, Timer::Send(conn, self.serial))));
+            if self.caches.connecting(conn, self.serial) {
+                let limit = now + self.config.connect_timeout;
+                self.timers.push(Reverse((limit, Timer::Connect(conn, self.serial))));
+            }
+        }
+        taken.sends.push(conn.map(|conn| (conn, self.serial)));
+    }
+}
--- /dev/null
+++ b/crates/front/src/front/fleet.rs
@@ -0,0 +1,55 @@
+//! The view of the fleet in the loop: when it is asked, and what is said of its changes. Nothing of this is there
+//! without `fleet { ... }` in the settings.
+
+use super::clock::Timer;
+use super::Front;
+use crate::net::fronts::Fronts;
+use meadowrill_core::interface::Micros;
+use meadowrill_members::claim::State;
+use meadowrill_members::view::Change;
+use slog::{error, info, warn, Logger};
+use std::cmp::Reverse;
+
+impl Front {
+    /// One step with the other fronts, and what changed by it.
+    pub(super) fn with_fronts(&mut self, step: impl FnOnce(&mut Fronts)) {
+        let Some(fronts) = &mut self.fronts else { return };
+        step(fronts);
+        for change in fronts.changes() {
+            tell(&self.log, change);
+        }
+        let next = fronts.next();
+        if self.fleet_at != next {
+            self.fleet_at = next;
+            self.timers.push(Reverse((next, Timer::Fleet(next))));
+        }
+    }
+
+    /// Rings that were set for a time which is no longer the next are passed over.
+    pub(super) fn fleet_rang(&mut self, at: Micros, now: Micros) {
+        if at == self.fleet_at {
+            self.fleet_at = 0;
+            self.with_fronts(|fronts| fronts.tick(now));
+        }
+    }
+}
+
+fn tell(log: &Logger, change: Change) {
+    match change {
+        Change::Member { name, from, to, start, incarnation, why, by } => {
+            let from = from.map_or("unknown", State::name);
+            info!(log, "member"; "who" => name, "from" => from, "to" => to.name(), "why" => ?why, "by" => by,
+                "start" => start, "incarnation" => incarnation);
+        }
+        Change::Values { name } => info!(log, "member says more of itself"; "who" => name),
+        Change::Forgotten { name } => info!(log, "member forgotten"; "who" => name),
+        Change::Refuted { by } => warn!(log, "was held to fail, spoke up"; "by" => by),
+        Change::WasAway { span } => warn!(log, "was away"; "us" => span),
+        Change::Joined => info!(log, "joined the fleet"),
+        Change::Passed { start } => warn!(log, "went past another start of its name"; "start" => start),
+        Change::GaveWay { to } => {
+            error!(log, "another front of this name is there and started later: this one leaves the fleet"; "at" => to);
+        }
+        Change::Gone { confirmed } => info!(log, "left the fleet"; "confirmed" => confirmed),
+    }
+}
--- /dev/null
+++ b/crates/front/src/front/list.rs
@@ -0,0 +1,72 @@
+//! What the journal service tells: the list of caches, and purges.
+
+use super::Front;
+use crate::net::journal::{self, Change, Journal, Member, News};
+use crate::net::Poll;
+use compact_str::CompactString;
+use meadowrill_core::door::stable;
+use meadowrill_core::interface::*;
+use slog::{info, warn};
+
+impl Front {
+    /// What the journal service had told at the start, before the first lookup.
+    pub(super) fn know(&mut self, now: Micros) {
+        let known = std::mem::take(&mut self.config.known);
+        for entry in known["entries"].as_array().into_iter().flatten() {
+            let news = journal::entry(entry).map(|line| line.change).transpose();
+            if let Some(news) = news {
+                self.told(news, now);
+            }
+        }
+    }
+
+    /// One step with the journal service, and what it told.
+    pub(super) fn follow(&mut self, now: Micros, step: impl FnOnce(&mut Journal, &mut Poll, &mut Vec<News>)) {
+        let mut news = Vec::new();
+        step(&mut self.journal, &mut self.poll, &mut news);
+        news.into_iter().for_each(|news| self.told(news, now));
+    }
+
+    pub(super) fn told(&mut self, news: News, now: Micros) {
+        match news {
+            Err(what) => warn!(self.log, "journal"; "what" => what),
+            Ok(Change::Purge { object, group, stamp }) => {
+                self.events.push(Event::Purged { object, group, ago: now - stamp });
+            }
+            Ok(Change::Hosts { complete, members }) => {
+                info!(self.log, "list"; "complete" => complete, "members" => members.len());
+                let entries = members.into_iter().map(|m| self.entry(m)).collect();
+                let listing = if complete { Listing::Full(entries) } else { Listing::Delta(entries) };
+                self.events.push(Event::Listed(listing));
+            }
+        }
+    }
+
+    pub(super) fn entry(&mut self, member: Member) -> Entry {
+        let peer = self.machines.of(&member.id);
+        if let Some(address) = member.address {
+            self.addresses.insert(peer, (address, CompactString::from(address.to_string())));
+        }
+        if member.standing != Standing::Ready {
+            self.caches.forget(peer, &self.poll);
+        }
+        let stable = stable(&member.id);
+        // The module's lines name machines by their stable numbers; here they can be looked up.
+        info!(self.log, "machine"; "standing" => ?member.standing, "at" => self.addresses.get(&peer).map(|a| a.1.as_str()),
+            "id" => &member.id, "kind" => &member.flavor, "place" => &member.locality, "stable" => format!("{stable:012x}"));
+        // What the settings do not name is none of those that they do.
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX)
+        };
+        Entry {
+            peer,
+            stable,
+            machine: place(&self.config.machines, &member.flavor),
+            since: member.up_since,
+            zone: place(&self.config.zones, &member.locality),
+            cell: member.cell,
+            weight: member.size,
+            standing: member.standing,
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/front/lookups.rs
@@ -0,0 +1,135 @@
+//! The table of lookups: each from when it was read until it was answered and its last send has ended.
+
+use super::Front;
+use crate::frame;
+use meadowrill_core::interface::*;
+use meadowrill_turns::door::{Done, Offer, Ticket, Verdict};
+use meadowrill_turns::names::Seen;
+use slog::debug;
+use smallvec::SmallVec;
+use std::net::IpAddr;
+
+/// What rounding may add to the limit that a client tells.
+const ROUNDED_MS: f64 = 1.0;
+
+/// A lookup, until it was answered and all of its sends have ended.
+pub(super) struct Taken {
+    pub(super) client: u64,
+    pub(super) stream: u32,
+    pub(super) request: Box<frame::Request>,
+    pub(super) kind: usize,
+    pub(super) expires: Micros,
+    pub(super) owed: bool,
+    /// Its place at the door or behind it, until it was answered or has left.
+    pub(super) place: Option<Ticket>,
+    pub(super) done: Done,
+    /// By the number of the send: the connection and the serial, while it is out.
+    pub(super) sends: SmallVec<[Option<(u64, u64)>; 4]>,
+}
+
+impl Front {
+    pub(super) fn take(
+        &mut self,
+        lookup: u32,
+        (client, from): (u64, IpAddr),
+        stream: u32,
+        request: Box<frame::Request>,
+        now: Micros,
+    ) {
+        let expires = now + (request.limit_ms * 1e3) as Micros;
+        let held = self.poll.tally.bytes() + self.bodies + request.body.len();
+        let usable = self.usable(&request);
+        self.bodies += request.body.len();
+        if usable.is_ok() {
+            self.named.insert(request.id, lookup);
+        }
+        let seen = Seen {
+            address: from,
+            connection: client,
+            tenant_field: request.tenant.as_deref(),
+            client_field: request.desk.as_deref(),
+        };
+        let (asker, kind) = (self.names.asker(seen), usable.unwrap_or(0));
+        let (size_kb, bytes) = (request.size_kb, request.body.len() as u32);
+        let (sends, done) = (SmallVec::new(), Done::default());
+        let taken = Taken { client, stream, request, kind, expires, owed: true, place: None, done, sends };
+        self.lookups.insert(lookup, taken);
+        if let Err(what) = usable {
+            debug!(self.log, "lookup unusable"; "client" => client, "why" => what);
+            self.answer(lookup, (frame::FAILED, &[], &[]), now);
+            self.clients.blame(client, now, &self.poll);
+            return;
+        }
+        let (verdict, place) =
+            match self.door.offer(now, Offer { id: lookup, asker, kind, size_kb, bytes, expires }, held) {
+                Verdict::In(place) => (Ok(true), Some(place)),
+                Verdict::Waits(place) => (Ok(false), Some(place)),
+                Verdict::Away(away) => (Err(away), None),
+            };
+        if let Some(taken) = self.lookups.get_mut(&lookup) {
+            taken.place = place;
+        }
+        match verdict {
+            Ok(true) => self.ask(lookup),
+            Ok(false) => {}
+            Err(away) => self.turn_away(lookup, away, now),
+        }
+    }
+
+    /// Whether a lookup is one that the settings allow, and of which class. Caches answer others with an error,
+    /// which would be held against them, and what is far out of range would stay in the module's memories.
+    pub(super) fn usable(&self, request: &frame::Request) -> Result<usize, &'static str> {
+        let kind = self.config.classes.iter().position(|class| class.name == request.verb);
+        let kind = kind.ok_or("class")?;
+        let class = &self.config.classes[kind];
+        if request.limit_ms > class.deadline_ms + ROUNDED_MS {
+            return Err("limit");
+        }
+        if class.keyed && request.unique.is_none() {
+            return Err("unique");
+        }
+        let open = self.named.get(&request.id).and_then(|lookup| self.lookups.get(lookup));
+        match open.filter(|taken| taken.owed).map(|taken| &taken.request) {
+            Some(r) if (r.object, r.slice, &r.verb) != (request.object, request.slice, &request.verb) => {
+                Err("txn")
+            }
+            _ => Ok(kind),
+        }
+    }
+
+    pub(super) fn answer(&mut self, lookup: u32, answer: (u8, &[(&str, &str)], &[u8]), now: Micros) {
+        if let Some((client, stream)) = self.answered(lookup, now) {
+            self.clients.answer((client, stream, lookup), answer, now, &self.poll);
+        }
+    }
+
+    /// Whose answer it is, if one is still owed; from here on none is.
+    pub(super) fn answered(&mut self, lookup: u32, now: Micros) -> Option<(u64, u32)> {
+        let taken = self.lookups.get_mut(&lookup).filter(|t| t.owed)?;
+        taken.owed = false;
+        if let Some(place) = taken.place.take() {
+            self.door.ended(now, place, taken.done);
+        }
+        let whose = (taken.client, taken.stream);
+        self.settle(lookup);
+        Some(whose)
+    }
+
+    /// Forgets a lookup that was answered once no send of it is out. Not before the module has heard so: until
+    /// then it may send for it, and would wait for ever for the end of a send that nobody knows.
+    pub(super) fn settle(&mut self, lookup: u32) {
+        self.over.push(lookup);
+    }
+
+    pub(super) fn forget(&mut self, lookup: u32) {
+        let done = |t: &&Taken| !t.owed && t.sends.iter().all(Option::is_none);
+        if let Some(taken) = self.lookups.get(&lookup).filter(done) {
+            self.bodies -= taken.request.body.len();
+            if self.named.get(&taken.request.id) == Some(&lookup) {
+                self.named.remove(&taken.request.id);
+            }
+            let taken = self.lookups.remove(&lookup);
+            taken.into_iter().for_each(|taken| self.clients.give_back(taken.request));
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/front/outcomes.rs
@@ -0,0 +1,79 @@
+//! Sends that have ended: what the module hears of them, and the answer that a client gets of the first that satisfies.
+
+use super::Front;
+use crate::frame;
+use crate::net::caches::{ending, report, Ended};
+use meadowrill_core::door::remark;
+use meadowrill_core::interface::*;
+use meadowrill_turns::door::Done;
+use slog::debug;
+
+impl Front {
+    /// Sends that have ended become outcomes; the first that satisfies is the client's answer.
+    pub(super) fn ends(&mut self, now: Micros) {
+        let mut ended = std::mem::take(&mut self.spare.ended);
+        self.caches.ended(&mut ended);
+        for ended in ended.drain(..) {
+            self.end(&ended, now);
+            // Only now may the body's place be used again.
+            self.caches.release(ended.conn, now, &self.poll);
+        }
+        self.spare.ended = ended;
+    }
+
+    pub(super) fn end(&mut self, Ended { out, peer, result, conn }: &Ended, now: Micros) {
+        let Some(taken) = self.lookups.get_mut(&out.lookup) else { return };
+        if let Some(send) = taken.sends.get_mut(usize::from(out.send)) {
+            *send = None;
+        }
+        let ending = match result {
+            Ok(head) => ending(head),
+            Err(fault) => fault.ending(),
+        };
+        let machine = self.machines.name(*peer);
+        match result {
+            Ok(head) if ending != Ending::Satisfied => {
+                debug!(self.log, "send unsatisfied"; "lookup" => taken.request.txn.as_str(), "at" => machine,
+                        "kind" => taken.request.verb.as_str(), "status" => head.status, "note" => head.note);
+            }
+            Ok(_) => {}
+            Err(fault) => {
+                debug!(self.log, "send failed"; "lookup" => taken.request.txn.as_str(), "at" => machine,
+                        "took" => now - out.at, "why" => %fault);
+            }
+        }
+        let mut outcome = Outcome {
+            id: out.lookup,
+            send: out.send,
+            peer: *peer,
+            ending,
+            took: now - out.at,
+            finished: false,
+            remark: Remark::None,
+            first_byte: None,
+            size_kb: 0.0,
+            report: Vec::new(),
+        };
+        if let Ok(head) = result {
+            outcome.remark = remark(head.note);
+            outcome.first_byte = head.source_ms.map(|ms| (ms * 1e3) as Micros);
+            outcome.size_kb = head.body as f64 * self.config.kb_per_byte;
+            outcome.report = report(&head.load, &self.config.reports);
+            if ending == Ending::Satisfied {
+                // What carries no note came from a machine that does not tell; it counts as one that had it.
+                let hit = matches!(outcome.remark, Remark::Hit | Remark::None);
+                taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb, left: false };
+                let current = head.status == 304;
+                let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
+                if let Some((client, stream)) = self.answered(out.lookup, now) {
+                    let body = self.caches.body(*conn, head);
+                    let answer = (frame::SATISFIED, fields, body);
+                    self.clients.answer((client, stream, out.lookup), answer, now, &self.poll);
+                }
+            }
+        }
+        outcome.finished = self.lookups.get(&out.lookup).is_none_or(|taken| !taken.owed);
+        self.events.push(Event::Ended(outcome));
+        self.settle(out.lookup);
+    }
+}
--- /dev/null
+++ b/crates/front/src/front/passage.rs
@@ -0,0 +1,58 @@
+//! The way through the door: who goes on to the decisions, who waits, who is turned away.
+
+use super::Front;
+use crate::frame;
+use meadowrill_core::interface::*;
+use meadowrill_turns::door::{Away, Turn};
+use slog::debug;
+
+use super::lookups::Taken;
+
+impl Front {
+    /// Hands a lookup to the decisions.
+    pub(super) fn ask(&mut self, lookup: u32) {
+        let Some(Taken { request, kind, expires, .. }) = self.lookups.get(&lookup) else { return };
+        let (object, part, group, size_kb) = (request.object, request.slice, request.set, request.size_kb);
+        let asked = Lookup { id: lookup, object, part, size_kb, group, kind: *kind, expires: *expires };
+        self.events.push(Event::Asked(asked));
+    }
+
+    /// No send was made, so to try again is harmless whatever the class.
+    pub(super) fn turn_away(&mut self, lookup: u32, away: Away, now: Micros) {
+        if let Some(taken) = self.lookups.get(&lookup) {
+            debug!(self.log, "turned away"; "lookup" => taken.request.txn.as_str(), "client" => taken.client,
+                "why" => %away.why, "come_back_ms" => away.come_back / 1000, "booked" => away.booked);
+        }
+        self.nack(lookup, away.come_back, now);
+    }
+
+    pub(super) fn nack(&mut self, lookup: u32, come_back: Micros, now: Micros) {
+        let later = (come_back / 1000).to_string();
+        let fields: &[(&str, &str)] = if come_back >= 1000 { &[("later", &later)] } else { &[] };
+        self.answer(lookup, (frame::NACKED, fields, &[]), now);
+    }
+
+    /// Whose wait at the door is over.
+    pub(super) fn turns(&mut self, now: Micros) {
+        let mut turns = std::mem::take(&mut self.spare.turns);
+        self.door.turns(now, &mut turns);
+        for turn in turns.drain(..) {
+            match turn {
+                Turn::In { id, tenant, waited } => {
+                    let names = &self.door.plan().tenants;
+                    self.metrics
+                        .waited(names.get(usize::from(tenant)).map_or("", |t| &t.name), waited as f64 / 1e6);
+                    debug!(self.log, "waited"; "lookup" => id, "us" => waited);
+                    self.ask(id);
+                }
+                Turn::Away { id, away } => {
+                    if let Some(taken) = self.lookups.get_mut(&id) {
+                        taken.place = None;
+                    }
+                    self.turn_away(id, away, now);
+                }
+            }
+        }
+        self.spare.turns = turns;
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -114,6 +114,10 @@
             cli::check(&file).map(|kind| println!("{}: good {kind}", file.display()))
         }
         Some(Command::Turns { socket }) => cli::operator(&socket, "turns").map(|text| print!("{text}")),
+        Some(Command::Fleet { socket, json }) => {
+            let word = if json { "fleet json" } else { "fleet" };
+            cli::operator(&socket, word).map(|text| print!("{text}"))
+        }
         Some(Command::Metrics { socket }) => cli::operator(&socket, "metrics").map(|text| print!("{text}")),
         Some(Command::Demo { seconds }) => demo::run(seconds),
     };
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod caches;
 pub mod calls;
 pub mod clients;
+pub mod fronts;
 pub mod journal;
 pub mod operators;
 
@@ -35,6 +36,8 @@
     Cache(u64),
     Client(u64),
     Door,
+    /// Datagrams of other fronts.
+    Fronts,
     /// The operators' socket, and one that asks there.
     Operators,
     Operator(u64),
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -1,6 +1,9 @@
 //! What operators are told of the door: a table, lines for the log, and metrics. Names in them are bounded: tenants
 //! are those of the settings, clients the loudest few of each.
 
+pub mod fleet;
+
+use crate::net::fronts::Fronts;
 use meadowrill_turns::door::{Door, Report, Why};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
@@ -36,7 +39,7 @@
     }
 
     /// In the text format that scrapers read.
-    pub fn text(&self, door: &Door) -> String {
+    pub fn text(&self, door: &Door, fronts: Option<&Fronts>) -> String {
         let mut registry = Registry::with_prefix("meadowrill_door");
         registry.register(
             "wait_seconds",
@@ -45,7 +48,15 @@
         );
         registry.register_collector(Box::new(Seen(door.report())));
         let mut text = String::new();
-        match encode(&mut text, &registry) {
+        let mut done = encode(&mut text, &registry);
+        if let Some(fronts) = fronts {
+            let mut registry = Registry::with_prefix("meadowrill_fleet");
+            registry.register_collector(Box::new(fleet::Seen::new(fronts.view(), fronts.unsent)));
+            // Only the last says that it ends.
+            text.truncate(text.len() - text.strip_suffix("# EOF\n").map_or(0, |_| "# EOF\n".len()));
+            done = done.and_then(|()| encode(&mut text, &registry));
+        }
+        match done {
             Ok(()) => text,
             Err(e) => format!("# {e}\n"),
         }
--- /dev/null
+++ b/crates/front/src/report/fleet.rs
@@ -0,0 +1,173 @@
+//! What operators are told of the view of the fleet: a table, the same as JSON, and metrics.
+
+use meadowrill_core::interface::Micros;
+use meadowrill_members::claim::State;
+use meadowrill_members::view::{Member, View};
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::MetricType;
+use serde_json::json;
+use std::fmt::{self, Write};
+
+/// How one stands, in the words of the operators' page: one known by name only is still joining.
+fn state(member: &Member) -> &'static str {
+    match member.claim.state {
+        State::Alive if member.rev == 0 => "joining",
+        state => state.name(),
+    }
+}
+
+fn own_state(view: &View) -> &'static str {
+    match view.own().0.state {
+        _ if view.gave_way() => "gave-way",
+        State::Alive if !view.joined() => "joining",
+        state => state.name(),
+    }
+}
+
+fn by(member: &Member) -> String {
+    match &member.suspicion {
+        Some(suspicion) => suspicion.by.iter().cloned().collect::<Vec<_>>().join(","),
+        None => member.by.clone(),
+    }
+}
+
+pub fn table(view: &View, now: Micros) -> String {
+    let mut text = String::new();
+    let settled = view.settled_since().map_or("no".to_string(), |at| format!("{} s", (now - at) / 1_000_000));
+    let (own, body) = view.own();
+    // Writing to a text cannot fail.
+    let _ = writeln!(
+        text,
+        "digest {:016x}  here {}  settled {settled}  own health {}",
+        view.digest(),
+        view.here(),
+        view.health()
+    );
+    let head = ["who", "state", "since_s", "by", "rtt_ms", "zone", "weight", "version", "address", "start"];
+    let mut rows = vec![head.map(str::to_string)];
+    rows.push([
+        format!("{} (this)", view.name()),
+        own_state(view).into(),
+        ((now - own.start as Micros) / 1_000_000).to_string(),
+        String::new(),
+        String::new(),
+        body.zone.clone(),
+        body.weight.to_string(),
+        body.version.clone(),
+        body.address.clone(),
+        own.start.to_string(),
+    ]);
+    for (name, member) in view.members() {
+        rows.push([
+            name.to_string(),
+            state(member).into(),
+            ((now - member.since) / 1_000_000).to_string(),
+            by(member),
+            member.round_trip.map_or(String::new(), |us| format!("{:.1}", us / 1000.0)),
+            member.body.zone.clone(),
+            member.body.weight.to_string(),
+            member.body.version.clone(),
+            member.body.address.clone(),
+            member.claim.start.to_string(),
+        ]);
+    }
+    let widths: Vec<usize> =
+        (0..head.len()).map(|at| rows.iter().map(|row| row[at].len()).max().unwrap_or(0)).collect();
+    for row in rows {
+        let cells: Vec<String> =
+            row.iter().zip(&widths).map(|(cell, width)| format!("{cell:width$}")).collect();
+        let _ = writeln!(text, "{}", cells.join("  ").trim_end());
+    }
+    text
+}
+
+pub fn json(view: &View, now: Micros) -> String {
+    let (own, body) = view.own();
+    let members: Vec<_> = view
+        .members()
+        .map(|(name, m)| {
+            json!({
+                "name": name, "state": state(m), "since_us": now - m.since, "by": by(m),
+                "round_trip_us": m.round_trip, "zone": m.body.zone, "weight": m.body.weight,
+                "version": m.body.version, "address": m.body.address, "start": m.claim.start,
+                "incarnation": m.claim.incarnation, "rev": m.rev,
+            })
+        })
+        .collect();
+    let all = json!({
+        "name": view.name(), "state": own_state(view), "start": own.start, "incarnation": own.incarnation,
+        "zone": body.zone, "version": body.version, "address": body.address,
+        "digest": format!("{:016x}", view.digest()), "here": view.here(),
+        "settled_us": view.settled_since().map(|at| now - at), "health": view.health(), "members": members,
+    });
+    format!("{all}\n")
+}
+
+/// Counts of the view, read when somebody asks.
+#[derive(Debug)]
+pub struct Seen {
+    counters: Vec<(&'static str, &'static str, Vec<(Vec<(String, String)>, u64)>)>,
+    gauges: Vec<(&'static str, &'static str, Vec<(Vec<(String, String)>, f64)>)>,
+}
+
+impl Seen {
+    pub fn new(view: &View, unsent: u64) -> Seen {
+        let counts = &view.counts;
+        let one = |n: u64| vec![(Vec::new(), n)];
+        let label = |key: &str, value: &str| vec![(key.to_string(), value.to_string())];
+        let dropped = counts.dropped.iter().map(|(why, n)| (label("why", why.name()), *n)).collect();
+        let spent = counts.spent.iter().map(|(what, n)| (label("for", what), *n)).collect();
+        let states = ["alive", "joining", "suspected", "dead", "left"];
+        let of = |name: &str| view.members().filter(|(_, m)| state(m) == name).count() as f64;
+        Seen {
+            counters: vec![
+                ("probes", "Probes sent", one(counts.probes)),
+                ("failures", "Probes that nobody answered", one(counts.failures)),
+                ("suspicions", "Suspicions by this front's own probes", one(counts.suspicions)),
+                ("refutations", "Times that this front spoke up for itself", one(counts.refutations)),
+                ("deaths", "Deaths called by this front", one(counts.deaths)),
+                ("datagrams_heard", "Datagrams heard", one(counts.heard)),
+                ("bytes_heard", "Bytes heard", one(counts.heard_bytes)),
+                ("datagrams_sent", "Datagrams sent", one(counts.sent)),
+                ("bytes_sent", "Bytes sent, by what they were sent for", spent),
+                ("held_back", "Parts of an exchange that waited for bytes a second", one(counts.held_back)),
+                ("unsent", "Datagrams that the kernel did not take", one(unsent)),
+                ("dropped", "Datagrams and records dropped", dropped),
+            ],
+            gauges: vec![
+                ("members", "Members by state", states.map(|s| (label("state", s), of(s))).to_vec()),
+                (
+                    "health",
+                    "How far this front doubts its own eyes",
+                    vec![(Vec::new(), f64::from(view.health()))],
+                ),
+                (
+                    "settled_since_seconds",
+                    "Unix time at which the view last changed, 0 while it is not settled",
+                    vec![(Vec::new(), view.settled_since().map_or(0.0, |at| at as f64 / 1e6))],
+                ),
+            ],
+        }
+    }
+}
+
+impl Collector for Seen {
+    fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), fmt::Error> {
+        for (name, help, values) in &self.counters {
+            let mut metric = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+            for (labels, value) in values {
+                ConstCounter::new(*value).encode(metric.encode_family(labels)?)?;
+            }
+        }
+        for (name, help, values) in &self.gauges {
+            let mut metric = encoder.encode_descriptor(name, help, None, MetricType::Gauge)?;
+            for (labels, value) in values {
+                ConstGauge::new(*value).encode(metric.encode_family(labels)?)?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -330,6 +330,11 @@
         (!open && self.joined).then_some(self.changed_at)
     }
 
+    /// It has agreed with another front, or has none to agree with.
+    pub fn joined(&self) -> bool {
+        self.joined
+    }
+
     pub fn health(&self) -> u32 {
         self.health.score()
     }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -4,11 +4,12 @@
 pub mod places;
 
 use ipnet::IpNet;
+use meadowrill_members::plan::{self as fleet, Plan as Fleet};
 use meadowrill_turns::plan::{ClientBy, Order, Plan, Tenant};
 use miette::Diagnostic;
 use prost_reflect::{DescriptorPool, DynamicMessage, Value};
 use std::fmt;
-use std::net::IpAddr;
+use std::net::{IpAddr, SocketAddr};
 
 static SCHEMA: &[u8] = include_bytes!(concat!(env!("OUT_DIR"), "/schema.bin"));
 
@@ -30,6 +31,7 @@
     /// Seconds between reports in the log.
     pub report_every: Option<f64>,
     pub turns: Plan,
+    pub fleet: Option<Fleet>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -140,9 +142,37 @@
         settings.turns = plan(&turns, text)?;
         settings.turns.check().map_err(|f| fault(text, f.key, f.what))?;
     }
+    if let Some(node) = root.node("fleet") {
+        let plan = others(&node, text)?;
+        plan.check().map_err(|f: fleet::Faulty| fault(text, node.key(f.key), f.what))?;
+        settings.fleet = Some(plan);
+    }
     Ok(settings)
 }
 
+fn others(fleet: &Node, text: &str) -> Result<Fleet, Faulty> {
+    let address = |key: String, told: &str| -> Result<SocketAddr, Faulty> {
+        told.parse().map_err(|_| fault(text, key, format!("{told:?} is no address with a port")))
+    };
+    let listen = fleet.text("listen").unwrap_or_default();
+    let mut plan = Fleet::new(address(fleet.key("listen"), &listen)?);
+    if let Some(told) = fleet.text("advertise") {
+        plan.advertise = address(fleet.key("advertise"), &told)?;
+    }
+    for (at, told) in fleet.texts("contact").iter().enumerate() {
+        plan.contacts.push(address(format!("{}[{at}]", fleet.key("contact")), told)?);
+    }
+    plan.fleet = fleet.text("name").unwrap_or(plan.fleet);
+    plan.zone = fleet.text("zone").unwrap_or(plan.zone);
+    plan.weight = fleet.count("weight").map_or(plan.weight, |n| n as u32);
+    plan.period = fleet.count("period_ms").map_or(plan.period, |n| n as i64 * 1000);
+    plan.observers = fleet.count("observers").unwrap_or(plan.observers);
+    plan.members_most = fleet.count("members_most").unwrap_or(plan.members_most);
+    plan.bytes_per_s = fleet.count("bytes_per_s").map_or(plan.bytes_per_s, |n| n as u64);
+    plan.remember = fleet.count("remember_s").map_or(plan.remember, |n| n as i64 * fleet::SEC);
+    Ok(plan)
+}
+
 fn plan(turns: &Node, text: &str) -> Result<Plan, Faulty> {
     let usual = Plan::default();
     let mut tenants = vec![Tenant::default()];
@@ -215,6 +245,12 @@
   client_field: "desk"
   inside_least: 8
 }
+fleet {
+  listen: "127.0.0.1:7000"
+  contact: "127.0.0.2:7000"
+  zone: "east"
+  period_ms: 500
+}
 "#;
 
     #[test]
@@ -225,6 +261,8 @@
         assert_eq!((plan.order, plan.inside_least, plan.tenants.len()), (Order::Fair, 8, 3));
         assert_eq!((plan.tenants[1].weight, plan.tenants[1].networks.len()), (3.0, 2));
         assert_eq!(plan.client_by, ClientBy::Field("desk".into()));
+        let fleet = settings.fleet.unwrap();
+        assert_eq!((fleet.period, fleet.contacts.len(), fleet.advertise), (500_000, 1, fleet.listen));
         assert_eq!(read("").unwrap(), Settings::default());
     }
 
@@ -252,6 +290,11 @@
             ("order: FAIR", "order: FARE", "turns.order", 5),
             ("report_every_s: 60", "report_every_s: 0.1", "operators.report_every_s", 3),
             ("client_by: FIELD", "client_by: ADDRESS", "turns.client_field", 14),
+            ("period_ms: 500", "period_ms: 5", "fleet.period_ms", 21),
+            ("127.0.0.1:7000", "127.0.0.1", "fleet.listen", 18),
+            ("127.0.0.1:7000", "0.0.0.0:7000", "fleet.advertise", 17),
+            ("127.0.0.2:7000", "contact", "fleet.contact[0]", 19),
+            ("zone: \"east\"", "members_most: 1", "fleet.members_most", 20),
             ("  client_field: \"desk\"\n", "", "turns.client_field", 4),
             ("  tenant_field: \"house\"\n", "", "turns.tenant_field", 4),
         ];
