A parent has a gate of its own, and what it has no place for goes to the next

At fault: Note::Lend passed a fill to its parent whatever it owed, and Desk::ended held a parent's refusal against all fills. Change: fills lent by a parent stand in its own gate (the same steps as elsewhere); one with no place goes to the next parent in the hash order; a refusal is held against that gate alone. It could hurt where all parents are slow alike: each one more that is tried is one more fetch at the origin. A parent that still lends is not forgotten.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -202,13 +202,19 @@
             }
             // Bounds what machines long replaced take up. One that still owes an outcome stays.
             Note::Sweep => {
-                if self.gate.out == 0.0 && self.gone_at.is_some_and(|at| at + GONE_LIFE < now) {
+                // Shares that came and went leave dust.
+                let idle = self.gate.out < 1e-6;
+                if idle && self.gone_at.is_some_and(|at| at + GONE_LIFE < now) {
                     *self = Peer::new(self.ix);
                     room.out.push(Action::Forget { peer: self.ix });
                 }
             }
             Note::Lend(bid) => {
-                if !self.admits(room, bid.fill_work, bid.fill_norm) {
+                // What a parent has no place for goes to the next in the hash order: an object that all walk
+                // at once fills its two parents' links while the others' stand idle. Could hurt where all
+                // parents are slow alike: each more that is tried is one more fetch at the origin.
+                let full = self.card.role == Role::Parent && self.gate.full(now, bid.ease);
+                if full || !self.admits(room, bid.fill_work, bid.fill_norm) {
                     return room.tell_desk(Note::Turned(bid, self.ix));
                 }
                 self.card.tried_at = now;
@@ -242,6 +248,14 @@
                 }
                 self.card.carried.add(now, work, DRIFT);
             }
+            Note::Lent(share) => return self.gate.enter(now, share),
+            Note::Returned { share, time } => {
+                self.gate.leave(now, share);
+                if time.is_some_and(|time| self.gate.judge(now, time, share)) {
+                    let window = self.gate.window;
+                    room.out.push(Action::Log(format!("gate of parent {id:012x} cut to {window:.1}")));
+                }
+            }
             Note::Gave { verdict, first_byte, took, work } => {
                 self.judged(now, verdict);
                 let card = &mut self.card;
@@ -488,8 +502,8 @@
     /// not: its gate takes as much as it can do in time, and elsewhere the lookup would only be a miss.
     fn shunned(&self, ix: PeerIx, room: &Room<Note>) -> bool {
         let card = &self.cards[ix];
-        // A peer that is well again is back after a few good answers, whatever it was before. Who hardly fails
-        // stands out nowhere, so its like are not looked through for it: lists are long.
+        // A peer that is well again is back after a few good answers, whatever it was before. Who hardly
+        // fails stands out nowhere, so its like are not looked through for it: lists are long.
         let stands_out = || card.failing(room.now, DRIFT) > FAILING && self.stands_out(ix, room) > FAILING;
         room.now < card.tried_at + (TRIAL_REST >> card.streak)
             && (Desk::silent(card, room.now) || stands_out())
@@ -694,6 +708,9 @@
     fn sent(&mut self, bid: Bid, room: &mut Room<Note>) {
         let Some(held) = self.lookups.get_mut(&bid.lk) else { return };
         held.sends.push(Sent::new(&bid, room.now));
+        if self.cards[bid.fill.source].role == Role::Parent && bid.fill.source != bid.cache {
+            room.tell(bid.fill.source, Note::Lent(bid.share));
+        }
         self.fills.enter(room.now, bid.share);
         self.fetches.enter(room.now, bid.fetch);
     }
@@ -783,9 +800,13 @@
         }
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
+        let lent = source_ix.filter(|ix| self.cards[*ix].role == Role::Parent);
+        let waited = (share > 0.0 && (filled || o.ending == Ending::TimedOut))
+            .then(|| o.took as f64 / self.budget(&lk, own).max(1.0));
         // Nor does a source that cannot be reached: it is passed by, links and other sources have room. Taken
         // for a jam, it shut the fills of all fronts at once. Could hurt where a jam shows as nothing else.
-        let fills = share > 0.0 && !held && !uncacheable && o.remark != Remark::SourceLost;
+        let elsewhere = matches!(o.remark, Remark::SourceLost | Remark::SourceRefused);
+        let fills = share > 0.0 && !held && !uncacheable && !elsewhere;
         if let Some(time) = self.time(&lk, &o, own, drag).filter(|_| fills) {
             let late = time > 1.0;
             // Behind the parent or before it: by the notes, by the first byte, or by what was asked.
@@ -821,6 +842,13 @@
             o.peer,
             Note::Done { verdict: verdict(at_cache && !uncacheable), lost, heard, time, pace, work: carried },
         );
+        if let Some(ix) = lent {
+            let refused = o.ending == Ending::TimedOut || o.remark == Remark::SourceRefused;
+            // What the origin had to fetch says nothing of the parent's own link.
+            let own_link = waited.filter(|_| !uncacheable && o.remark != Remark::FilledFromOrigin);
+            let time = if refused { Some(f64::INFINITY) } else { own_link.map(|time| time / drag) };
+            room.tell(ix, Note::Returned { share, time: time.filter(|_| share > 0.0) });
+        }
         if let Some(ix) = source_ix {
             let part = if !told || filled { carried } else { 0.0 };
             // Sizes differ far more than parents do: only what goes beyond the object's own time tells.
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -210,6 +210,13 @@
         took: Option<Micros>,
         work: f64,
     },
+    /// To a parent: a fill has gone out with it as the source; and how that ended, in parts of the latency budget where
+    /// it tells of the parent's own link.
+    Lent(f64),
+    Returned {
+        share: f64,
+        time: Option<f64>,
+    },
     /// To the desk.
     Posted(PeerIx, Card),
     Sent(Bid),
--- a/crates/core/tests/jam.rs
+++ b/crates/core/tests/jam.rs
@@ -23,8 +23,13 @@
 const LINK: f64 = 12.0;
 /// A cache finds out that it cannot reach a parent.
 const UNREACHED: Micros = 830_000;
+/// And that one has no place.
+const REFUSED: Micros = 60_000;
 const LIMIT: Micros = 4 * SEC;
 const TRIES: u32 = 3;
+/// Clients a second at each front that walk through what is released.
+const WALKERS: usize = 4;
+const RELEASED: u64 = 1 << 40;
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 enum Next {
@@ -38,6 +43,7 @@
 #[derive(Clone, Copy)]
 struct Client {
     object: u64,
+    part: u32,
     began: Micros,
     own: Micros,
 }
@@ -75,6 +81,9 @@
     copies: HashMap<(usize, PeerIx, u64), Micros>,
     under_way: HashSet<(usize, PeerIx, u64)>,
     link: Vec<f64>,
+    lent: Vec<f64>,
+    /// Transfers that a parent takes on at a time.
+    parent: f64,
     lost: HashSet<PeerIx>,
     windows: Vec<Window>,
 }
@@ -128,6 +137,8 @@
             copies: HashMap::new(),
             under_way: HashSet::new(),
             link: vec![0.0; LOCATIONS],
+            lent: vec![0.0; ORIGIN + 1],
+            parent: f64::INFINITY,
             lost: HashSet::new(),
             windows: vec![Window::default(); 64],
         }
@@ -152,9 +163,25 @@
                 let at = from + (self.draw() * SEC as f64) as Micros;
                 let object = OBJECTS.powf(self.draw()) as u64;
                 let own = 50_000 + (object.wrapping_mul(0x9e37_79b9) % 7) as Micros * 40_000;
-                self.clients.push(Client { object, began: at, own });
-                self.at(at, Next::Ask(front, self.clients.len() - 1, 0));
-                self.windows[(at / SEC) as usize].offered += 1.0;
+                self.come(front, Client { object, part: 0, began: at, own });
+            }
+        }
+    }
+
+    fn come(&mut self, front: usize, client: Client) {
+        let window = &mut self.windows[(client.began / SEC) as usize];
+        window.offered += 1.0;
+        self.clients.push(client);
+        self.at(client.began, Next::Ask(front, self.clients.len() - 1, 0));
+    }
+
+    /// In this second some at each front walk through the parts of one large new object, one after the other.
+    fn walk(&mut self, from: Micros, each: usize, step: u32) {
+        for front in 0..FRONTS {
+            for _ in 0..each {
+                let at = from + (self.draw() * SEC as f64) as Micros;
+                let part = step * 2 + u32::from(at - from >= SEC / 2);
+                self.come(front, Client { object: RELEASED, part, began: at, own: 1_200_000 });
             }
         }
     }
@@ -189,7 +216,8 @@
         let Some((client, _, sends)) = self.open[front].get_mut(&id) else { return };
         let (client, number) = (*client, *sends);
         *sends += 1;
-        let Client { object, own, .. } = self.clients[client];
+        let Client { object, part, own, .. } = self.clients[client];
+        let object = object << 8 | u64::from(part);
         let location = front % LOCATIONS;
         let key = (location, peer, object);
         let now = self.now;
@@ -215,10 +243,13 @@
                 (out.ending, out.remark, out.took) = (Ending::TurnedAway, Remark::SourceLost, UNREACHED);
             } else if only && !parent_holds {
                 (out.remark, out.took) = (Remark::SourceLacks, 20_000);
+            } else if self.lent[parent] >= self.parent {
+                (out.ending, out.remark, out.took) = (Ending::TurnedAway, Remark::SourceRefused, REFUSED);
             } else {
                 let slow = (self.link[location] / LINK).max(1.0);
                 let first = if parent_holds { 40_000.0 } else { 120_000.0 };
                 self.link[location] += 1.0;
+                self.lent[parent] += 1.0;
                 out.remark = if parent_holds { Remark::Filled } else { Remark::FilledFromOrigin };
                 (out.ending, out.size_kb) = (Ending::Satisfied, size_kb);
                 out.took = ((first + own as f64) * slow) as Micros;
@@ -240,6 +271,7 @@
         let taken = if finished { self.open[front].remove(&id) } else { None };
         if let Some((location, parent, object)) = out.fill {
             self.link[location] -= 1.0;
+            self.lent[parent] -= 1.0;
             self.under_way.remove(&(location, out.peer, object));
             if finished {
                 self.copies.insert((location, out.peer, object), self.now + KEPT);
@@ -273,10 +305,10 @@
             match next {
                 Next::Ask(front, client, tries) => {
                     self.ids += 1;
-                    let (id, object) = (self.ids, self.clients[client].object);
+                    let (id, Client { object, part, .. }) = (self.ids, self.clients[client]);
                     self.open[front].insert(id, (client, tries, 0));
                     let lookup =
-                        Lookup { id, object, part: 0, size_kb: 0.0, group: 0, kind: 0, expires: at + LIMIT };
+                        Lookup { id, object, part, size_kb: 0.0, group: 0, kind: 0, expires: at + LIMIT };
                     self.at(at + LIMIT, Next::Over(front, id));
                     self.hear(front, Event::Asked(lookup));
                 }
@@ -323,3 +355,25 @@
     assert!(freed > 0.9 * before, "the jam outlives its cause: {freed} of {before}");
     assert!(after > 0.95 * before, "after {after} of {before}");
 }
+
+/// All walk through one new object for five seconds. Its two parents have no place for all locations at once; the others,
+/// and all links of locations, have room.
+#[test]
+fn a_release_jams_two_parents_and_nothing_else() {
+    let mut world = World::new(12);
+    world.parent = 36.0;
+    for second in 0..24 {
+        world.second(second * SEC, 0.5);
+        if (6..11).contains(&second) {
+            world.walk(second * SEC, WALKERS, second as u32 - 6);
+        }
+        world.until((second + 1) * SEC);
+    }
+    world.until(30 * SEC);
+    let (before, during) = (world.served(3..6), world.served(6..11));
+    let (freed, after) = (world.served(11..13), world.served(13..20));
+    println!("in time: before {before:.3}, during {during:.3}, freed {freed:.3}, after {after:.3}");
+    assert!(before > 0.9, "the model is loaded too much: {before}");
+    assert!(during > 0.55 * before, "during {during} of {before}");
+    assert!(after > 0.9 * before, "the jam outlives its cause: {after} of {before}");
+}
