A rig of many processes with faults between them, and the view of the fleet accepted by its scripts

Need: what fronts do together is accepted only by several processes of the program with faults injected between them. Change: crates/rig: processes each at an address of its own, relays for each ordered pair (loss, bursts, delay, jitter, doubled, cut short, flipped, slow, one way, flapping), kill, stop, starve, move, twins, splits; scripts with expectations; checkers that look at what fronts say and log; a story by time is left behind for a failure; schedules drawn by a seed and shrunk; a held program ends with the rig. 'make measure AREA=fleet' with heartbeats to all, and the view without its own health, beside it. Seen on the way: 4,000 bytes a second at a period of 200 ms starve the news (16 fronts: one never heard of a death in 6 s), so the rig gives as many a period as usual settings do; a checker that took the old start for the new one passed at once, mended.

--- a/crates/front/src/report/fleet.rs
+++ b/crates/front/src/report/fleet.rs
@@ -106,11 +106,15 @@
     format!("{all}\n")
 }
 
+type Labels = Vec<(String, String)>;
+/// Name, help, and the values by their labels.
+type Named<T> = (&'static str, &'static str, Vec<(Labels, T)>);
+
 /// Counts of the view, read when somebody asks.
 #[derive(Debug)]
 pub struct Seen {
-    counters: Vec<(&'static str, &'static str, Vec<(Vec<(String, String)>, u64)>)>,
-    gauges: Vec<(&'static str, &'static str, Vec<(Vec<(String, String)>, f64)>)>,
+    counters: Vec<Named<u64>>,
+    gauges: Vec<Named<f64>>,
 }
 
 impl Seen {
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! `measure guard`.
 
 mod figures;
+mod fleet;
 mod guard;
 mod path;
 mod turns;
@@ -13,6 +14,12 @@
 
 #[derive(Debug, Subcommand)]
 enum Area {
+    /// The view of the fleet: in one process up to 1,000 members, and with processes of the program
+    Fleet {
+        /// Processes of the program
+        #[arg(long, default_value_t = 64)]
+        fronts: usize,
+    },
     /// What a hit costs
     Path,
     /// Fair turns at the door
@@ -38,6 +45,7 @@
 fn main() -> ExitCode {
     let mut figures = Figures::default();
     match Cli::parse().area {
+        Area::Fleet { fronts } => fleet::measure(&mut figures, fronts),
         Area::Path => path::measure(&mut figures),
         Area::Turns => turns::measure(&mut figures),
         Area::Guard { file, accept } => match guard::guard(&file, accept) {
--- a/crates/members/src/health.rs
+++ b/crates/members/src/health.rs
@@ -7,12 +7,18 @@
 /// An observer that comes so much of a period late to its own times was stopped or starved.
 const LATE: f64 = 0.4;
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Health {
     score: u32,
+    /// A baseline without any.
+    off: bool,
 }
 
 impl Health {
+    pub fn new(on: bool) -> Health {
+        Health { score: 0, off: !on }
+    }
+
     /// The observer reached nobody with a probe, neither its target nor a helper: likely it is the one cut off.
     pub fn worse(&mut self) {
         self.score = (self.score + 1).min(WORST);
@@ -34,7 +40,7 @@
 
     /// Times are so many times as long as usual.
     pub fn stretch(&self) -> Micros {
-        if crate::mutant("no-health") {
+        if self.off || crate::mutant("no-health") {
             return 1;
         }
         Micros::from(self.score + 1)
--- a/crates/members/src/plan.rs
+++ b/crates/members/src/plan.rs
@@ -29,6 +29,8 @@
     pub bytes_per_s: u64,
     /// How long the dead are shown and asked for, and those who left are shown.
     pub remember: Micros,
+    /// Off only in baselines: whether an observer doubts its own eyes.
+    pub own_health: bool,
 }
 
 pub const SEC: Micros = 1_000_000;
@@ -49,6 +51,7 @@
             members_most: 1024,
             bytes_per_s: 4000,
             remember: 600 * SEC,
+            own_health: true,
         }
     }
 
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -256,6 +256,7 @@
         };
         let mut rings = Rings::new(plan.observers);
         rings.put(&me.name);
+        let health = Health::new(plan.own_health);
         let mut view = View {
             fleet: hash(&plan.fleet, 98),
             budget: (plan.bytes_per_s * BURST) as f64,
@@ -273,7 +274,7 @@
             members: BTreeMap::new(),
             rings,
             digest: Digest::default(),
-            health: Health::default(),
+            health,
             rumors: Rumors::default(),
             probes: BTreeMap::new(),
             errands: BTreeMap::new(),
@@ -386,7 +387,7 @@
             (self.period_at, self.turn_at) = (now + self.plan.period, now + self.plan.period);
             return;
         }
-        if let Some(span) = away(due, now, self.plan.period) {
+        if let Some(span) = away(due, now, self.plan.period).filter(|_| self.plan.own_health) {
             self.was_away(span, out);
         }
         self.ends(out);
--- /dev/null
+++ b/crates/rig/src/fleet.rs
@@ -0,0 +1,307 @@
+//! Processes of the program, each at an address of its own, with settings written for it.
+
+use crate::relay::{Relays, MOVED};
+use meadowrill_standins::program::Site;
+use meadowrill_standins::service::{Directory, Service};
+use meadowrill_standins::Journal;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Where clients reach a front; each has an address of its own.
+const DOOR: u16 = 10080;
+const BOXES: usize = 3;
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub fronts: usize,
+    pub zones: usize,
+    pub period_ms: u64,
+    pub contacts: usize,
+    pub remember_s: u64,
+    pub seed: u64,
+    /// Builds with a fault of this name, for trying the checkers.
+    pub mutant: Option<String>,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        Plan { fronts: 8, zones: 2, period_ms: 200, contacts: 3, remember_s: 600, seed: 1, mutant: None }
+    }
+}
+
+struct Front {
+    child: Option<Child>,
+    moved: bool,
+    stopped: bool,
+    /// When it was started last, since the Unix epoch.
+    started: Duration,
+}
+
+pub struct Fleet {
+    pub plan: Plan,
+    pub relays: Relays,
+    pub folder: tempfile::TempDir,
+    pub begun: Instant,
+    subnet: [u8; 2],
+    fronts: Vec<Front>,
+    program: PathBuf,
+    holder: PathBuf,
+    boxes: Vec<Service>,
+    parent: Service,
+    origin: Service,
+    journal: Journal,
+    /// First processes of names that another has by now.
+    twins: Vec<Child>,
+    /// Keeps the subnet this run's own, as no two hold one port at a time.
+    _port: TcpListener,
+}
+
+/// How one front sees the fleet.
+#[derive(Clone, Debug)]
+pub struct Sight {
+    pub digest: String,
+    pub state: String,
+    pub here: Vec<String>,
+    pub states: BTreeMap<String, String>,
+    pub starts: BTreeMap<String, u64>,
+}
+
+pub fn name(front: usize) -> String {
+    format!("front-{front}")
+}
+
+impl Fleet {
+    /// `program` is the front, `holder` this rig's own tool, which ends what it started when it ends.
+    pub fn new(plan: Plan, program: &Path, holder: &Path) -> io::Result<Fleet> {
+        if plan.fronts == 0 || plan.fronts > MOVED {
+            return Err(io::Error::other(format!("{} fronts: 1 to {MOVED} go", plan.fronts)));
+        }
+        let port = TcpListener::bind("127.0.0.1:0")?;
+        let subnet = port.local_addr()?.port().to_be_bytes();
+        let directory = Directory::default();
+        let machine = |workers, each, empty| {
+            Service::start(workers, Duration::from_millis(each), 4000, empty, &directory)
+        };
+        let boxes: Vec<Service> = (0..BOXES).map(|_| machine(8, 2, true)).collect();
+        let (parent, origin) = (machine(16, 3, true), machine(16, 3, false));
+        if let Ok(mut directory) = directory.lock() {
+            directory.extend([("s-p".into(), parent.address), ("s-o".into(), origin.address)]);
+        }
+        Ok(Fleet {
+            relays: Relays::start(plan.fronts, plan.seed)?,
+            folder: tempfile::tempdir()?,
+            begun: Instant::now(),
+            subnet,
+            fronts: (0..plan.fronts)
+                .map(|_| Front { child: None, moved: false, stopped: false, started: Duration::ZERO })
+                .collect(),
+            program: program.into(),
+            holder: holder.into(),
+            boxes,
+            parent,
+            origin,
+            journal: Journal::start(),
+            twins: Vec::new(),
+            _port: port,
+            plan,
+        })
+    }
+
+    fn ip(&self, front: usize) -> Ipv4Addr {
+        let last = front + 1 + if self.fronts[front].moved { MOVED } else { 0 };
+        Ipv4Addr::new(127, self.subnet[0], self.subnet[1], last as u8)
+    }
+
+    /// Where clients reach it.
+    pub fn door(&self, front: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(front).into(), DOOR)
+    }
+
+    pub fn zone(&self, front: usize) -> usize {
+        front % self.plan.zones.max(1)
+    }
+
+    fn socket(&self, front: usize) -> PathBuf {
+        self.folder.path().join(format!("{front}.sock"))
+    }
+
+    pub fn log(&self, front: usize) -> PathBuf {
+        self.folder.path().join(format!("{front}.log"))
+    }
+
+    fn settings(&self, front: usize) -> String {
+        let plan = &self.plan;
+        let contacts: String = (0..plan.contacts.min(plan.fronts))
+            .map(|n| format!("  contact: \"{}\"\n", self.relays.address(n)))
+            .collect();
+        format!(
+            "log {{ form: JSON }}\noperators {{ socket: \"{}\" }}\nfleet {{\n  name: \"rig\"\n  listen: \"{}:7100\"\n  \
+             advertise: \"{}\"\n{contacts}  zone: \"zone-{}\"\n  period_ms: {}\n  remember_s: {}\n  \
+             bytes_per_s: {}\n}}\n",
+            self.socket(front).display(),
+            self.ip(front),
+            self.relays.address(front),
+            self.zone(front),
+            plan.period_ms,
+            plan.remember_s,
+            // As many for each period as the usual settings give.
+            4_000_000 / plan.period_ms.max(1),
+        )
+    }
+
+    /// The front's configuration, as the platform writes it.
+    fn config(&self, front: usize) -> String {
+        let names = ["s-a", "s-b", "s-c"];
+        let caches: Vec<(&str, SocketAddr)> =
+            names.into_iter().zip(self.boxes.iter().map(|b| b.address)).collect();
+        let site = Site {
+            caches: &caches,
+            parent: self.parent.address,
+            origin: self.origin.address,
+            journal: self.journal.address,
+        };
+        let mut config = site.config();
+        config["name"] = name(front).into();
+        config["listen"] = self.door(front).to_string().into();
+        config["limits"]["sockets"] = 256.into();
+        config["settings"]["balancers"] = self.plan.fronts.into();
+        config["settings"]["specifics"]["zone_balancers"] = vec![0, self.plan.fronts].into();
+        config.to_string()
+    }
+
+    pub fn start(&mut self, front: usize) -> io::Result<()> {
+        if self.fronts[front].child.is_some() {
+            return Ok(());
+        }
+        let folder = self.folder.path();
+        let (config, own) = (folder.join(format!("{front}.json")), folder.join(format!("{front}.textproto")));
+        std::fs::write(&config, self.config(front))?;
+        std::fs::write(&own, self.settings(front))?;
+        let log = File::options().create(true).append(true).open(self.log(front))?;
+        let mut command = Command::new(&self.holder);
+        command.arg("hold").arg(std::process::id().to_string()).arg(&self.program);
+        command.args(["serve", "--settings"]).arg(&own).env("BALANCER_CONFIG", &config);
+        if let Some(mutant) = &self.plan.mutant {
+            command.env("MEADOWRILL_MUTANT", mutant);
+        }
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        let began = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let child = command.spawn()?;
+        let front = &mut self.fronts[front];
+        (front.child, front.stopped, front.started) = (Some(child), false, began);
+        Ok(())
+    }
+
+    /// A second process of that name, elsewhere; from here on it is the one that is asked.
+    pub fn twin(&mut self, front: usize) -> io::Result<()> {
+        let former = self.fronts[front].child.take();
+        self.twins.extend(former);
+        self.move_on(front);
+        self.start(front)
+    }
+
+    /// Another address for its next start.
+    pub fn move_on(&mut self, front: usize) {
+        self.fronts[front].moved = !self.fronts[front].moved;
+    }
+
+    fn signal(&self, front: usize, signal: Signal) {
+        let child = self.fronts[front].child.as_ref();
+        if let Some(pid) = child.and_then(|child| Pid::from_raw(child.id() as i32)) {
+            // One that has ended meanwhile is what was wanted, or is seen by the checkers.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    pub fn kill(&mut self, front: usize) {
+        self.signal(front, Signal::KILL);
+        if let Some(mut child) = self.fronts[front].child.take() {
+            let _ = child.wait();
+        }
+    }
+
+    /// SIGTERM; true once it has ended by itself.
+    pub fn terminate(&mut self, front: usize, most: Duration) -> bool {
+        self.signal(front, Signal::TERM);
+        let end = Instant::now() + most;
+        while Instant::now() < end {
+            let Some(child) = &mut self.fronts[front].child else { return true };
+            if matches!(child.try_wait(), Ok(Some(_))) {
+                self.fronts[front].child = None;
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill(front);
+        false
+    }
+
+    pub fn stop(&mut self, front: usize) {
+        self.signal(front, Signal::STOP);
+        self.fronts[front].stopped = true;
+    }
+
+    pub fn go_on(&mut self, front: usize) {
+        self.signal(front, Signal::CONT);
+        self.fronts[front].stopped = false;
+    }
+
+    /// Started and not stopped.
+    pub fn runs(&self, front: usize) -> bool {
+        self.fronts[front].child.is_some() && !self.fronts[front].stopped
+    }
+
+    pub fn started(&self, front: usize) -> Duration {
+        self.fronts[front].started
+    }
+
+    /// Those that ended without being told to.
+    pub fn crashed(&mut self) -> Vec<usize> {
+        let gone = |f: &mut Front| f.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))));
+        (0..self.fronts.len()).filter(|n| gone(&mut self.fronts[*n])).collect()
+    }
+
+    pub fn sight(&self, front: usize) -> Option<Sight> {
+        if !self.runs(front) {
+            return None;
+        }
+        let ask = || -> io::Result<String> {
+            let mut stream = UnixStream::connect(self.socket(front))?;
+            stream.set_read_timeout(Some(Duration::from_secs(2)))?;
+            stream.write_all(b"fleet json\n")?;
+            let mut text = String::new();
+            stream.read_to_string(&mut text)?;
+            Ok(text)
+        };
+        let seen: Value = serde_json::from_str(&ask().ok()?).ok()?;
+        let members = seen["members"].as_array()?;
+        let text = |value: &Value| value.as_str().unwrap_or_default().to_string();
+        let here =
+            |m: &&Value| ["alive", "joining", "suspected"].contains(&m["state"].as_str().unwrap_or(""));
+        Some(Sight {
+            digest: text(&seen["digest"]),
+            state: text(&seen["state"]),
+            here: members.iter().filter(here).map(|m| text(&m["name"])).collect(),
+            states: members.iter().map(|m| (text(&m["name"]), text(&m["state"]))).collect(),
+            starts: members.iter().map(|m| (text(&m["name"]), m["start"].as_u64().unwrap_or(0))).collect(),
+        })
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        (0..self.fronts.len()).for_each(|front| self.kill(front));
+        for twin in &mut self.twins {
+            let _ = twin.kill();
+            let _ = twin.wait();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,113 @@
+//! Plays scripts of faults against processes of the program.
+
+use clap::{Parser, Subcommand};
+use meadowrill_rig::script::{draw, play, shrink, Tools};
+use std::os::unix::process::CommandExt;
+use std::path::PathBuf;
+use std::process::{Command, ExitCode};
+
+/// Starts fleets of meadowrill on loopback, breaks things between them, and checks what they make of it
+#[derive(Debug, Parser)]
+#[command(name = "meadowrill-rig", version)]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// Play scripts, one after the other
+    Play {
+        files: Vec<PathBuf>,
+        /// Where what a failed run leaves behind is put
+        #[arg(long, default_value = "rig-failures")]
+        keep: PathBuf,
+        /// For builds with the feature `mutants`: the fault to play with
+        #[arg(long)]
+        mutant: Option<String>,
+    },
+    /// Draw schedules by seeds and play them; one that fails is shrunk and kept
+    Draw {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 1)]
+        runs: u64,
+        #[arg(long, default_value_t = 8)]
+        fronts: usize,
+        #[arg(long, default_value = "rig-failures")]
+        keep: PathBuf,
+    },
+    /// Run a program that ends when the process of that number does
+    #[command(hide = true)]
+    Hold {
+        parent: i32,
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        command: Vec<String>,
+    },
+}
+
+fn hold(parent: i32, command: &[String]) -> ExitCode {
+    use rustix::process::{getppid, set_parent_process_death_signal, Signal};
+    // Set before the look: a parent that ended in between is noticed by one or the other.
+    let set = set_parent_process_death_signal(Some(Signal::KILL));
+    let there = getppid().is_some_and(|pid| pid.as_raw_nonzero().get() == parent);
+    if set.is_err() || !there || command.is_empty() {
+        return ExitCode::FAILURE;
+    }
+    eprintln!("{}", Command::new(&command[0]).args(&command[1..]).exec());
+    ExitCode::FAILURE
+}
+
+fn main() -> ExitCode {
+    let here = std::env::current_exe().unwrap_or_default();
+    let mut bad = 0;
+    match Cli::parse().what {
+        What::Hold { parent, command } => return hold(parent, &command),
+        What::Play { files, keep, mutant } => {
+            for file in files {
+                let stem = file.file_stem().unwrap_or_default().to_os_string();
+                let tools =
+                    Tools { keep: Some(keep.join(stem)), mutant: mutant.clone(), ..Tools::beside(&here) };
+                let played = std::fs::read_to_string(&file).map(|text| play(&text, &tools));
+                match played {
+                    Ok(Ok(figures)) => {
+                        println!("{}: held", file.display());
+                        figures.iter().for_each(|(what, figure)| println!("  {what}: {figure:.3}"));
+                    }
+                    Ok(Err(failed)) => {
+                        bad += 1;
+                        println!("{}, line {}: {}: {}", file.display(), failed.line, failed.text, failed.why);
+                    }
+                    Err(e) => {
+                        bad += 1;
+                        println!("{}: {e}", file.display());
+                    }
+                }
+            }
+        }
+        What::Draw { seed, runs, fronts, keep } => {
+            for seed in seed..seed + runs {
+                let text = draw(seed, fronts);
+                let tools = Tools { keep: Some(keep.join(seed.to_string())), ..Tools::beside(&here) };
+                let Err(failed) = play(&text, &tools) else {
+                    println!("seed {seed}: held");
+                    continue;
+                };
+                bad += 1;
+                println!("seed {seed}, line {}: {}: {}", failed.line, failed.text, failed.why);
+                let quiet = Tools::beside(&here);
+                let short = shrink(&text, |text| play(text, &quiet).is_err());
+                let at = keep.join(format!("{seed}.txt"));
+                match std::fs::write(&at, &short) {
+                    Ok(()) => println!("shrunk, in {}:\n{short}", at.display()),
+                    Err(e) => println!("{}: {e}\n{short}", at.display()),
+                }
+            }
+        }
+    }
+    if bad == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- a/crates/rig/src/model.rs
+++ b/crates/rig/src/model.rs
@@ -95,11 +95,20 @@
     pub remember: Micros,
     pub many: usize,
     pub bytes_per_s: u64,
+    pub own_health: bool,
 }
 
 impl Config {
     pub fn new(many: usize, seed: u64) -> Config {
-        Config { period: SEC, seed, contacts: 3, remember: 600 * SEC, many, bytes_per_s: 4000 }
+        Config {
+            period: SEC,
+            seed,
+            contacts: 3,
+            remember: 600 * SEC,
+            many,
+            bytes_per_s: 4000,
+            own_health: true,
+        }
     }
 }
 
@@ -147,6 +156,7 @@
             plan.contacts = (0..config.contacts.min(config.many)).map(address).collect();
             plan.remember = config.remember;
             plan.bytes_per_s = config.bytes_per_s;
+            plan.own_health = config.own_health;
             plan.zone = format!("zone-{}", n % 4);
             let me = Me { name: name(n), version: "0.1.0".into(), start };
             View::new(plan, me, now, config.seed ^ start)
--- /dev/null
+++ b/crates/rig/tests/processes.rs
@@ -0,0 +1,55 @@
+//! Several processes of the program, with faults between them: each script of `scripts` is played as it stands. The
+//! program has to be built before, which a test of the whole workspace does.
+
+use meadowrill_rig::script::{play, Tools};
+use std::path::Path;
+use std::sync::Mutex;
+
+/// Times are judged, so one fleet at a time has the machine.
+static ALONE: Mutex<()> = Mutex::new(());
+
+fn holds(name: &str) {
+    let alone = ALONE.lock();
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(folder.join("scripts").join(format!("{name}.txt"))).expect(name);
+    let holder = Path::new(env!("CARGO_BIN_EXE_meadowrill-rig"));
+    let keep = std::env::temp_dir().join(format!("meadowrill-rig-{}-{name}", std::process::id()));
+    let tools = Tools { keep: Some(keep.clone()), ..Tools::beside(holder) };
+    let played = play(&text, &tools);
+    drop(alone);
+    if let Err(failed) = played {
+        let story = std::fs::read_to_string(keep.join("story.txt")).unwrap_or_default();
+        let last: Vec<&str> = story.lines().rev().take(60).collect();
+        last.iter().rev().for_each(|line| println!("{line}"));
+        panic!("{name}, line {}: {}: {} (all in {})", failed.line, failed.text, failed.why, keep.display());
+    }
+}
+
+macro_rules! scripts {
+    ($($name:ident)*) => { $(#[test] fn $name() { holds(stringify!($name)); })* };
+}
+
+scripts! {
+    killed restarted most_killed split stopped seeds_down bad_links one_way leaving starved forgotten twins
+}
+
+/// Without `fleet { ... }` nothing is opened for other fronts.
+#[test]
+fn without_a_fleet_there_is_no_socket_for_one() {
+    use meadowrill_standins::{config, Journal, Program};
+    let journal = Journal::start();
+    let nowhere: [(&str, std::net::SocketAddr); 0] = [];
+    let open = |settings: &str| {
+        let program = Program::with_settings(&config(&nowhere, journal.address), settings);
+        let fds = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).expect("its descriptors");
+        let sockets = fds.flatten().filter_map(|fd| std::fs::read_link(fd.path()).ok());
+        let sockets: Vec<String> = sockets.map(|to| to.to_string_lossy().into_owned()).collect();
+        let table = std::fs::read_to_string("/proc/net/udp").expect("datagram sockets");
+        let of_it = |line: &str| {
+            line.split_whitespace().nth(9).is_some_and(|inode| sockets.contains(&format!("socket:[{inode}]")))
+        };
+        table.lines().filter(|line| of_it(line)).count()
+    };
+    assert_eq!(open(""), 0);
+    assert_eq!(open("fleet { listen: \"127.0.0.1:0\" advertise: \"127.0.0.1:1\" }"), 1);
+}
