--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -315,6 +315,10 @@
         self.members.iter().map(|(name, member)| (name.as_str(), member))
     }
 
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.get(name)
+    }
+
     /// How many are there, with this front.
     pub fn here(&self) -> usize {
         self.members.values().filter(|m| m.claim.state.here()).count() + 1
--- a/crates/rig/src/baselines.rs
+++ b/crates/rig/src/baselines.rs
@@ -68,6 +68,10 @@
         self.heard.keys().map(|n| self.names[*n].as_str()).collect()
     }
 
+    fn holds(&self, name: &str) -> bool {
+        self.here().contains(&name)
+    }
+
     fn sent_bytes(&self) -> u64 {
         self.sent
     }
