--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -68,6 +68,8 @@
 const REST_MOST: Micros = 4 * SEC;
 /// A log line about the same thing comes at most so often.
 const SAY_REST: Micros = 5 * SEC;
+/// Shares that came and went leave dust: it shuts no window of one for good, and owes no outcome.
+const DUST: f64 = 1e-6;
 /// Parts of a window that are open to a lookup with the least and the most room in its latency budget.
 const TIGHT: f64 = 0.5;
 const EASY: f64 = 3.0;
@@ -133,8 +135,7 @@
         let open = self.window * ease;
         let span = (self.left_at - self.entered_at).max(0) as f64;
         let rest = (span * (1.0 / open - 1.0)).clamp(0.0, REST_MOST as f64);
-        // Shares that came and went leave dust, which must not shut a window of one for good.
-        self.out > (open - 1.0).max(1e-6) || now < self.left_at + rest as Micros
+        self.out > (open - 1.0).max(DUST) || now < self.left_at + rest as Micros
     }
 
     fn enter(&mut self, now: Micros, share: f64) {
@@ -202,9 +203,7 @@
             }
             // Bounds what machines long replaced take up. One that still owes an outcome stays.
             Note::Sweep => {
-                // Shares that came and went leave dust.
-                let idle = self.gate.out < 1e-6;
-                if idle && self.gone_at.is_some_and(|at| at + GONE_LIFE < now) {
+                if self.gate.out < DUST && self.gone_at.is_some_and(|at| at + GONE_LIFE < now) {
                     *self = Peer::new(self.ix);
                     room.out.push(Action::Forget { peer: self.ix });
                 }
@@ -800,9 +799,6 @@
         }
         // A cache that drags what it holds itself says nothing of the fills.
         let drag = self.cards[o.peer].pace.drifted(room.now, 1.0, DRIFT).max(1.0);
-        let lent = source_ix.filter(|ix| self.cards[*ix].role == Role::Parent);
-        let waited = (share > 0.0 && (filled || o.ending == Ending::TimedOut))
-            .then(|| o.took as f64 / self.budget(&lk, own).max(1.0));
         // Nor does a source that cannot be reached: it is passed by, links and other sources have room. Taken
         // for a jam, it shut the fills of all fronts at once. Could hurt where a jam shows as nothing else.
         let elsewhere = matches!(o.remark, Remark::SourceLost | Remark::SourceRefused);
@@ -842,11 +838,12 @@
             o.peer,
             Note::Done { verdict: verdict(at_cache && !uncacheable), lost, heard, time, pace, work: carried },
         );
-        if let Some(ix) = lent {
+        if let Some(ix) = source_ix.filter(|ix| self.cards[*ix].role == Role::Parent) {
             let refused = o.ending == Ending::TimedOut || o.remark == Remark::SourceRefused;
             // What the origin had to fetch says nothing of the parent's own link.
-            let own_link = waited.filter(|_| !uncacheable && o.remark != Remark::FilledFromOrigin);
-            let time = if refused { Some(f64::INFINITY) } else { own_link.map(|time| time / drag) };
+            let own_link = o.remark == Remark::Filled && !uncacheable;
+            let passed = || o.took as f64 / self.budget(&lk, own).max(1.0) / drag;
+            let time = if refused { Some(f64::INFINITY) } else { own_link.then(passed) };
             room.tell(ix, Note::Returned { share, time: time.filter(|_| share > 0.0) });
         }
         if let Some(ix) = source_ix {
--- a/crates/members/src/rings.rs
+++ b/crates/members/src/rings.rs
@@ -2,7 +2,7 @@
 //! same view agree, each member has as many observers as there are rings, and one that comes or goes changes only its
 //! neighbours (Rapid, 2018).
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::ops::Bound;
 
 /// How far it is looked past sick ones on one ring.
@@ -23,17 +23,17 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Rings {
-    rings: Vec<BTreeMap<(u64, String), ()>>,
+    rings: Vec<BTreeSet<(u64, String)>>,
 }
 
 impl Rings {
     pub fn new(count: usize) -> Rings {
-        Rings { rings: vec![BTreeMap::new(); count] }
+        Rings { rings: vec![BTreeSet::new(); count] }
     }
 
     pub fn put(&mut self, name: &str) {
         for (at, ring) in (0u64..).zip(&mut self.rings) {
-            ring.insert((hash(name, at), name.to_string()), ());
+            ring.insert((hash(name, at), name.to_string()));
         }
     }
 
@@ -69,12 +69,12 @@
 }
 
 fn walk<'a>(
-    ring: impl Iterator<Item = (&'a (u64, String), &'a ())>,
+    ring: impl Iterator<Item = &'a (u64, String)>,
     sick: impl Fn(&str) -> bool,
     all: &mut Vec<&'a str>,
 ) {
     let mut ahead = 0;
-    for ((_, next), ()) in ring.take(FURTHER) {
+    for (_, next) in ring.take(FURTHER) {
         if !all.contains(&next.as_str()) {
             all.push(next);
         }
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -44,7 +44,7 @@
 const LEAVING: Micros = 2;
 const LEAVING_TO: usize = 8;
 /// A member goes past another start of its name so often; then the other lives, and it gives way.
-const PASSES: u32 = 3;
+const PASSES: usize = 3;
 /// What may be sent at once, in seconds of the bytes a second, and what probes leave of it to news and digests.
 const BURST: u64 = 3;
 /// From this part of that on, news tells at length too; below it digests go first, which tell nothing twice.
@@ -228,7 +228,6 @@
     forgotten: BTreeMap<String, (u64, Micros)>,
     seq: u64,
     passed: Vec<u64>,
-    passes: u32,
     leave: Option<Leave>,
     out: bool,
     joined: bool,
@@ -285,7 +284,6 @@
             forgotten: BTreeMap::new(),
             seq: 0,
             passed: Vec::new(),
-            passes: 0,
             leave: None,
             out: false,
             joined: false,
@@ -920,13 +918,12 @@
         if start < self.own.start {
             return;
         }
-        if self.passed.contains(&nonce) || self.passes >= PASSES {
+        if self.passed.contains(&nonce) || self.passed.len() >= PASSES {
             self.out = true;
             out.push(Act::Tell(Change::GaveWay { to: address.into() }));
             return;
         }
         self.passed.push(nonce);
-        self.passes += 1;
         if let Some(claim) = past(self.own, start) {
             out.push(Act::Tell(Change::Passed { start }));
             self.speak(claim, out);
@@ -1168,9 +1165,8 @@
             return self.agreed(out);
         }
         let mut lists: BTreeMap<usize, Vec<Record>> = differing.iter().map(|b| (*b, Vec::new())).collect();
-        let own = Record { body: Vec::new(), ..self.own_record(false) };
         if let Some(list) = lists.get_mut(&bucket(&self.me.name)) {
-            list.push(own);
+            list.push(self.own_record(false));
         }
         for (name, member) in &self.members {
             if let Some(list) = lists.get_mut(&bucket(name)) {
@@ -1268,14 +1264,7 @@
     fn hand_out(&mut self, to: &str, back: SocketAddr, names: Vec<String>, out: &mut Vec<Act>) {
         let mut want = Want::default();
         for name in names {
-            let record = if name == self.me.name {
-                self.own_record(true)
-            } else {
-                match self.members.get(&name) {
-                    Some(member) => member.record(&name, true, &self.me.name),
-                    None => continue,
-                }
-            };
+            let Some(record) = self.whole_record(&name) else { continue };
             let more = prost::Message::encoded_len(&record) + 4;
             if !want.records.is_empty() && prost::Message::encoded_len(&want) + more > ROOM {
                 let full = std::mem::take(&mut want);
@@ -1408,29 +1397,12 @@
         // What is told to one that may be dead is not told.
         if carries && self.budget >= self.plenty(SPEAK) && !self.sick(name) {
             let mut size = wire::length(&packet);
-            let (members, me) = (&self.members, &self.me.name);
-            let own = Record {
-                name: self.me.name.clone(),
-                start: self.own.start,
-                incarnation: self.own.incarnation,
-                state: self.own.state as u32,
-                by: String::new(),
-                rev: self.rev,
-                body: self.raw.clone(),
-            };
-            let records = &mut packet.records;
-            self.rumors.tell(|rumor| {
-                if rumor == me && stranger {
+            let mut rumors = std::mem::take(&mut self.rumors);
+            rumors.tell(|rumor| {
+                if rumor == self.me.name && stranger {
                     return true;
                 }
-                let record = if rumor == me {
-                    own.clone()
-                } else {
-                    match members.get(rumor) {
-                        Some(member) => member.record(rumor, true, me),
-                        None => return true,
-                    }
-                };
+                let Some(record) = self.whole_record(rumor) else { return true };
                 if !plenty && !record.body.is_empty() {
                     return true;
                 }
@@ -1439,9 +1411,10 @@
                     return false;
                 }
                 size += more;
-                records.push(record);
+                packet.records.push(record);
                 true
             });
+            self.rumors = rumors;
         }
         wire::write(&packet, &mut self.spare);
         if self.spare.len() > wire::MOST {
@@ -1455,6 +1428,14 @@
         out.push(Act::Send { to, bytes: self.spare.clone() });
     }
 
+    /// Of this front or of a member, with what it says of itself.
+    fn whole_record(&self, name: &str) -> Option<Record> {
+        if name == self.me.name {
+            return Some(self.own_record(true));
+        }
+        self.members.get(name).map(|member| member.record(name, true, &self.me.name))
+    }
+
     fn own_record(&self, whole: bool) -> Record {
         Record {
             name: self.me.name.clone(),
--- a/crates/rig/src/baselines.rs
+++ b/crates/rig/src/baselines.rs
@@ -22,7 +22,7 @@
 
 impl Heartbeats {
     pub fn new(config: &Config, me: usize, now: Micros) -> Heartbeats {
-        let names = (0..config.many).map(crate::model::name).collect();
+        let names = (0..config.many).map(crate::name).collect();
         // Those that start together do not all speak at once.
         let at = now + config.period * me as Micros / config.many as Micros;
         Heartbeats {
--- a/crates/rig/src/check.rs
+++ b/crates/rig/src/check.rs
@@ -1,6 +1,7 @@
 //! Checkers. They look at what the fronts say and log, never at how they came to it.
 
-use crate::fleet::{name, Fleet};
+use crate::fleet::Fleet;
+use crate::name;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,5 +1,7 @@
 //! Fleets of fronts under faults: models in one process, and processes of the program with relays between them.
 
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
 pub mod baselines;
 pub mod check;
 pub mod fleet;
@@ -7,3 +9,13 @@
 pub mod relay;
 pub mod script;
 pub mod serving;
+
+/// What the n-th front is called, in models and as a process.
+pub fn name(front: usize) -> String {
+    format!("front-{front}")
+}
+
+/// Since the Unix epoch, by this machine's clock.
+pub fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/crates/rig/tests/model.rs
+++ b/crates/rig/tests/model.rs
@@ -3,7 +3,8 @@
 use meadowrill_members::claim::State;
 use meadowrill_members::plan::SEC;
 use meadowrill_members::view::{Change, View};
-use meadowrill_rig::model::{name, Config, Fleet, Network};
+use meadowrill_rig::model::{Config, Fleet, Network};
+use meadowrill_rig::name;
 
 fn started(many: usize, seed: u64) -> Fleet<View> {
     let mut fleet = Fleet::views(Config::new(many, seed));
