--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -154,7 +154,7 @@
         front.hand_over(now, actions);
         front.timers.push(Reverse((now, Timer::Tick)));
         front.follow_plan(now);
-        front.with_fronts(|_| {});
+        front.with_fronts(|_, _| {});
         Ok(front)
     }
 
@@ -234,7 +234,17 @@
                     Key::Operator(number) => {
                         self.operators.iter_mut().for_each(|o| o.drop(number, &self.poll))
                     }
-                    Key::Door | Key::Fronts | Key::Operators | Key::Reload | Key::Report | Key::Signal => {}
+                    Key::Stream(number) => self.with_fronts(|fronts, poll| {
+                        // What was left for it is found by the next comparison.
+                        fronts.streams.drop(number, poll);
+                    }),
+                    Key::Door
+                    | Key::Fronts
+                    | Key::Chunks
+                    | Key::Operators
+                    | Key::Reload
+                    | Key::Report
+                    | Key::Signal => {}
                 }
             }
         }
@@ -256,12 +266,16 @@
             Key::Signal if self.clients.ready => {
                 info!(self.log, "ending"; "open" => self.lookups.len());
                 self.clients.ready = false;
-                self.with_fronts(|fronts| fronts.leave(now));
+                self.with_fronts(|fronts, poll| fronts.leave(now, poll));
                 self.timers.push(Reverse((now + LINGER, Timer::Part)));
             }
             Key::Signal => {}
             Key::Reload => self.reload(now),
-            Key::Fronts => self.with_fronts(|fronts| fronts.read(now)),
+            Key::Fronts => self.with_fronts(|fronts, poll| fronts.read(now, poll)),
+            Key::Chunks => self.with_fronts(|fronts, poll| fronts.streams.accept(now, poll)),
+            Key::Stream(number) => {
+                self.with_fronts(|fronts, poll| fronts.stream(number, ready, now, poll));
+            }
             Key::Report => report::log(&self.log, &self.door.report()),
             Key::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.poll)),
             Key::Operator(number) => {
--- a/crates/front/src/front/fleet.rs
+++ b/crates/front/src/front/fleet.rs
@@ -4,6 +4,7 @@
 use super::clock::Timer;
 use super::Front;
 use crate::net::fronts::Fronts;
+use crate::net::Poll;
 use meadowrill_core::interface::Micros;
 use meadowrill_members::claim::State;
 use meadowrill_members::view::Change;
@@ -12,9 +13,9 @@
 
 impl Front {
     /// One step with the other fronts, and what changed by it.
-    pub(super) fn with_fronts(&mut self, step: impl FnOnce(&mut Fronts)) {
+    pub(super) fn with_fronts(&mut self, step: impl FnOnce(&mut Fronts, &mut Poll)) {
         let Some(fronts) = &mut self.fronts else { return };
-        step(fronts);
+        step(fronts, &mut self.poll);
         for change in fronts.changes() {
             tell(&self.log, change);
         }
@@ -29,7 +30,7 @@
     pub(super) fn fleet_rang(&mut self, at: Micros, now: Micros) {
         if at == self.fleet_at {
             self.fleet_at = 0;
-            self.with_fronts(|fronts| fronts.tick(now));
+            self.with_fronts(|fronts, poll| fronts.tick(now, poll));
         }
     }
 }
--- a/crates/front/src/net/fronts.rs
+++ b/crates/front/src/net/fronts.rs
@@ -1,19 +1,24 @@
-//! Other fronts: datagrams to and from the view of the fleet, which decides; here they are only carried.
+//! Other fronts: datagrams and chunks to and from the view of the fleet, which decides; here they are only carried.
 
+use super::streams::Streams;
 use super::{Key, Poll};
+use calloop::Readiness;
 use meadowrill_core::interface::Micros;
 use meadowrill_members::plan::Plan;
 use meadowrill_members::view::{Act, Change, Me, View};
 use meadowrill_members::wire::MOST;
 use std::io::{self, ErrorKind};
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 
 /// Datagrams that are read in one round; the rest are read in the next.
 const READ: usize = 256;
+/// Ports from the kernel that are tried.
+const TRIES: u32 = 16;
 
 pub struct Fronts {
     socket: Rc<UdpSocket>,
+    pub streams: Streams,
     view: View,
     acts: Vec<Act>,
     changes: Vec<Change>,
@@ -25,7 +30,8 @@
 
 impl Fronts {
     pub fn listen(plan: &Plan, name: &str, now: Micros, seed: u64, poll: &Poll) -> io::Result<Fronts> {
-        let socket = Rc::new(UdpSocket::bind(plan.listen)?);
+        let (socket, streams) = both(plan.listen, poll)?;
+        let socket = Rc::new(socket);
         socket.set_nonblocking(true)?;
         poll.watch(Rc::clone(&socket), Key::Fronts)?;
         let mut plan = plan.clone();
@@ -36,7 +42,7 @@
         }
         let me = Me { name: name.into(), version: env!("CARGO_PKG_VERSION").into(), start: now as u64 };
         let view = View::new(plan, me, now, seed);
-        Ok(Fronts { socket, view, acts: Vec::new(), changes: Vec::new(), unsent: 0, waits: false })
+        Ok(Fronts { socket, streams, view, acts: Vec::new(), changes: Vec::new(), unsent: 0, waits: false })
     }
 
     pub fn view(&self) -> &View {
@@ -51,9 +57,9 @@
         self.view.next()
     }
 
-    pub fn read(&mut self, now: Micros) {
+    pub fn read(&mut self, now: Micros, poll: &mut Poll) {
         // First the clock: one that was stopped has to know that before it believes what came meanwhile.
-        self.tick(now);
+        self.tick(now, poll);
         let mut bytes = [0; MOST + 1];
         self.waits = true;
         for _ in 0..READ {
@@ -68,19 +74,29 @@
                 Err(_) => {}
             }
         }
-        self.carry();
+        self.carry(now, poll);
     }
 
-    pub fn tick(&mut self, now: Micros) {
+    /// Something of a stream is ready.
+    pub fn stream(&mut self, number: u64, ready: Readiness, now: Micros, poll: &mut Poll) {
+        let (view, acts) = (&mut self.view, &mut self.acts);
+        let failed = self.streams.handle(number, ready, now, poll, |bytes| view.hear(now, bytes, acts));
+        failed.into_iter().for_each(|to| self.view.unstreamed(now, to));
+        self.carry(now, poll);
+    }
+
+    pub fn tick(&mut self, now: Micros, poll: &mut Poll) {
         if now >= self.view.next() {
             self.view.tick(now, &mut self.acts);
-            self.carry();
+            let failed = self.streams.tick(now, poll);
+            failed.into_iter().for_each(|to| self.view.unstreamed(now, to));
+            self.carry(now, poll);
         }
     }
 
-    pub fn leave(&mut self, now: Micros) {
+    pub fn leave(&mut self, now: Micros, poll: &mut Poll) {
         self.view.leave(now, &mut self.acts);
-        self.carry();
+        self.carry(now, poll);
     }
 
     /// True once those who need to know that it leaves do, or it waited long enough.
@@ -92,10 +108,15 @@
         std::mem::take(&mut self.changes)
     }
 
-    fn carry(&mut self) {
+    fn carry(&mut self, now: Micros, poll: &mut Poll) {
         for act in self.acts.drain(..) {
             match act {
                 Act::Tell(change) => self.changes.push(change),
+                Act::Stream { to, bytes } => {
+                    if !self.streams.send(to, &bytes, now, poll) {
+                        self.view.unstreamed(now, to);
+                    }
+                }
                 Act::Send { to, bytes } => {
                     if self.socket.send_to(&bytes, to).is_err() {
                         self.unsent += 1;
@@ -105,3 +126,16 @@
         }
     }
 }
+
+/// Datagrams and streams at one address and port; a port from the kernel has to be free for both.
+fn both(listen: SocketAddr, poll: &Poll) -> io::Result<(UdpSocket, Streams)> {
+    let mut tries = 0;
+    loop {
+        let socket = UdpSocket::bind(listen)?;
+        match Streams::listen(socket.local_addr()?, poll) {
+            Ok(streams) => return Ok((socket, streams)),
+            Err(e) if listen.port() == 0 && e.kind() == ErrorKind::AddrInUse && tries < TRIES => tries += 1,
+            Err(e) => return Err(e),
+        }
+    }
+}
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod fronts;
 pub mod journal;
 pub mod operators;
+pub mod streams;
 
 use self::calls::{add, Calls};
 use crate::http;
@@ -16,10 +17,10 @@
 use rustix::buffer::spare_capacity;
 use rustix::event::epoll;
 use rustix::event::Timespec;
-use rustix::net::{connect, socket_with, AddressFamily, SocketFlags, SocketType};
+use rustix::net::{bind, connect, socket_with, AddressFamily, SocketFlags, SocketType};
 use std::fmt;
 use std::io::{self, ErrorKind, IoSlice, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
 use std::time::Duration;
@@ -36,8 +37,10 @@
     Cache(u64),
     Client(u64),
     Door,
-    /// Datagrams of other fronts.
+    /// Datagrams of other fronts, streams that they open, and one of these or of this front's own.
     Fronts,
+    Chunks,
+    Stream(u64),
     /// The operators' socket, and one that asks there.
     Operators,
     Operator(u64),
@@ -54,6 +57,7 @@
             Key::Journal(n) => 1 << 60 | n,
             Key::Cache(n) => 2 << 60 | n,
             Key::Client(n) => 3 << 60 | n,
+            Key::Stream(n) => 4 << 60 | n,
             _ => LIBRARY,
         }
     }
@@ -64,6 +68,7 @@
             1 => Some(Key::Journal(number)),
             2 => Some(Key::Cache(number)),
             3 => Some(Key::Client(number)),
+            4 => Some(Key::Stream(number)),
             _ => None,
         }
     }
@@ -141,10 +146,24 @@
 
     /// Begins a connection without waiting for it; a refusal may show at once or later.
     pub fn connect(&self, address: SocketAddr, key: Key, most: (usize, usize)) -> io::Result<Link> {
+        self.connect_from(None, address, key, most)
+    }
+
+    /// The same from an address of this machine.
+    pub fn connect_from(
+        &self,
+        from: Option<IpAddr>,
+        address: SocketAddr,
+        key: Key,
+        most: (usize, usize),
+    ) -> io::Result<Link> {
         let family = if address.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
         let flags = SocketFlags::NONBLOCK | SocketFlags::CLOEXEC;
         add(&self.calls.connections, 2);
         let socket = socket_with(family, SocketType::STREAM, flags, None)?;
+        if let Some(from) = from.filter(|from| from.is_ipv4() == address.is_ipv4()) {
+            bind(&socket, &SocketAddr::new(from, 0))?;
+        }
         match connect(&socket, &address) {
             Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
             Err(e) => return Err(e.into()),
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -51,7 +51,7 @@
         let mut done = encode(&mut text, &registry);
         if let Some(fronts) = fronts {
             let mut registry = Registry::with_prefix("meadowrill_fleet");
-            registry.register_collector(Box::new(fleet::Seen::new(fronts.view(), fronts.unsent)));
+            registry.register_collector(Box::new(fleet::Seen::new(fronts)));
             // Only the last says that it ends.
             text.truncate(text.len() - text.strip_suffix("# EOF\n").map_or(0, |_| "# EOF\n".len()));
             done = done.and_then(|()| encode(&mut text, &registry));
--- a/crates/front/src/report/fleet.rs
+++ b/crates/front/src/report/fleet.rs
@@ -1,5 +1,6 @@
 //! What operators are told of the view of the fleet: a table, the same as JSON, and metrics.
 
+use crate::net::fronts::Fronts;
 use meadowrill_core::interface::Micros;
 use meadowrill_members::claim::State;
 use meadowrill_members::view::{Member, View};
@@ -118,7 +119,8 @@
 }
 
 impl Seen {
-    pub fn new(view: &View, unsent: u64) -> Seen {
+    pub fn new(fronts: &Fronts) -> Seen {
+        let (view, streams) = (fronts.view(), &fronts.streams);
         let counts = &view.counts;
         let one = |n: u64| vec![(Vec::new(), n)];
         let label = |key: &str, value: &str| vec![(key.to_string(), value.to_string())];
@@ -138,7 +140,11 @@
                 ("datagrams_sent", "Datagrams sent", one(counts.sent)),
                 ("bytes_sent", "Bytes sent, by what they were sent for", spent),
                 ("held_back", "Parts of an exchange that waited for bytes a second", one(counts.held_back)),
-                ("unsent", "Datagrams that the kernel did not take", one(unsent)),
+                ("unsent", "Datagrams that the kernel did not take", one(fronts.unsent)),
+                ("chunks_sent", "Parts of an exchange sent over streams", one(counts.chunks)),
+                ("streams_opened", "Streams opened to other fronts", one(streams.opened)),
+                ("streams_lost", "Streams that ended with something unsent", one(streams.lost)),
+                ("streams_full", "Parts and streams for which there was no room", one(streams.full)),
                 ("dropped", "Datagrams and records dropped", dropped),
             ],
             gauges: vec![
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -20,8 +20,11 @@
         #[arg(long, default_value_t = 64)]
         fronts: usize,
         /// Only with processes, not the long models
-        #[arg(long)]
+        #[arg(long, conflicts_with = "models")]
         processes: bool,
+        /// Only the long models
+        #[arg(long)]
+        models: bool,
     },
     /// What a hit costs
     Path,
@@ -48,7 +51,14 @@
 fn main() -> ExitCode {
     let mut figures = Figures::default();
     match Cli::parse().area {
-        Area::Fleet { fronts, processes } => fleet::measure(&mut figures, fronts, processes),
+        Area::Fleet { fronts, processes, models } => {
+            if !processes {
+                fleet::model(&mut figures);
+            }
+            if !models {
+                fleet::processes(&mut figures, fronts);
+            }
+        }
         Area::Path => path::measure(&mut figures),
         Area::Turns => turns::measure(&mut figures),
         Area::Guard { file, accept } => match guard::guard(&file, accept) {
--- a/crates/members/src/plan.rs
+++ b/crates/members/src/plan.rs
@@ -31,6 +31,8 @@
     pub remember: Micros,
     /// Off only in baselines: whether an observer doubts its own eyes.
     pub own_health: bool,
+    /// Whether what is too long for datagrams may go over a stream.
+    pub streams: bool,
 }
 
 pub const SEC: Micros = 1_000_000;
@@ -52,6 +54,7 @@
             bytes_per_s: 4000,
             remember: 600 * SEC,
             own_health: true,
+            streams: true,
         }
     }
 
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -55,8 +55,14 @@
 const FORGOTTEN: usize = 2;
 /// Room for one part of an exchange, beside the head.
 const ROOM: usize = wire::MOST - 220;
-/// Members that one who knows few is told of at once.
+/// Members that one who knows few is told of at once; over a stream as many as it knows, which doubles them.
 const HANDED: usize = 9;
+/// From so many bytes on a part of an exchange goes over a stream, and so many bytes has one chunk before it is packed:
+/// packed it is about what the bytes a second allow at once, with the usual ones.
+const STREAMED: usize = 2 * ROOM;
+const CHUNK: usize = 20 * ROOM;
+/// A stream that came to nothing is not tried again for so many periods; datagrams do the same, in more bytes.
+const UNSTREAMED: Micros = 30;
 /// Smoothing of round trips.
 const SMOOTHING: f64 = 0.2;
 
@@ -72,7 +78,15 @@
 /// What the host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Act {
-    Send { to: SocketAddr, bytes: Vec<u8> },
+    Send {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
+    /// Over a stream, as it may be longer than a datagram. What comes of none is told by [`View::unstreamed`].
+    Stream {
+        to: SocketAddr,
+        bytes: Vec<u8>,
+    },
     Tell(Change),
 }
 
@@ -183,6 +197,8 @@
     pub refutations: u64,
     pub deaths: u64,
     pub sent: u64,
+    /// Sent over streams.
+    pub chunks: u64,
     pub sent_bytes: u64,
     pub heard: u64,
     pub heard_bytes: u64,
@@ -226,6 +242,8 @@
     quarter: u8,
     push_at: Option<Micros>,
     forgotten: BTreeMap<String, (u64, Micros)>,
+    /// Addresses that no stream reaches, until when.
+    unstreamed: BTreeMap<SocketAddr, Micros>,
     seq: u64,
     passed: Vec<u64>,
     leave: Option<Leave>,
@@ -282,6 +300,7 @@
             quarter: 0,
             push_at: None,
             forgotten: BTreeMap::new(),
+            unstreamed: BTreeMap::new(),
             seq: 0,
             passed: Vec::new(),
             leave: None,
@@ -371,6 +390,13 @@
         true
     }
 
+    /// A stream to there did not come up, or ended before all of it was taken: datagrams for a while.
+    pub fn unstreamed(&mut self, now: Micros, to: SocketAddr) {
+        if self.unstreamed.len() < self.plan.members_most {
+            self.unstreamed.insert(to, now + UNSTREAMED * self.plan.period);
+        }
+    }
+
     /// When [`View::tick`] is wanted next.
     pub fn next(&self) -> Micros {
         let mut next = self.period_at.min(self.turn_at);
@@ -642,6 +668,7 @@
             return;
         }
         self.forget(out);
+        self.unstreamed.retain(|_, until| now < *until);
         // A split that heals is noticed by asking one of those beyond it now and then.
         let dead: Vec<(String, SocketAddr)> = self
             .members
@@ -787,8 +814,9 @@
                 } else if count * 2 < here {
                     // It knows so little that some at random are more use to it than a comparison; from those it
                     // hears of others, so that a few contacts need not tell it all.
-                    let some = self.some(HANDED, &from).into_iter().map(|(name, _)| name).collect();
                     if self.afford() {
+                        let many = if self.streams(back) { HANDED.max(count as usize) } else { HANDED };
+                        let some = self.some(many, &from).into_iter().map(|(name, _)| name).collect();
                         self.hand_out(&from, back, some, out);
                     }
                 } else if self.afford() {
@@ -1173,6 +1201,24 @@
                 list.push(member.record(name, false, &self.me.name));
             }
         }
+        let all: usize = lists.values().flatten().map(|r| prost::Message::encoded_len(r) + 3).sum();
+        if all > STREAMED && self.streams(back) {
+            // Whole buckets as far as one chunk goes; the rest is found by the next comparison, from another on.
+            let (mut have, mut size) = (Have::default(), 0);
+            for at in differing {
+                let list = lists.remove(&at).unwrap_or_default();
+                size += list.iter().map(|r| prost::Message::encoded_len(r) + 3).sum::<usize>();
+                if size > CHUNK && !have.buckets.is_empty() {
+                    break;
+                }
+                have.buckets.push(at as u32);
+                have.items.extend(list);
+            }
+            if self.afford() {
+                self.chunk(back, Said::Have(have), out);
+            }
+            return;
+        }
         let mut have = Have::default();
         for at in differing {
             let list = lists.remove(&at).unwrap_or_default();
@@ -1250,6 +1296,12 @@
         if whole.contains(&bucket(&self.me.name)) && !told.contains(&self.me.name) {
             newer.push(self.me.name.clone());
         }
+        if names.len() > STREAMED / 24 && self.streams(back) {
+            if self.afford() {
+                self.chunk(back, Said::Want(Want { names, records: Vec::new() }), out);
+            }
+            return self.hand_out(from, back, newer, out);
+        }
         for chunk in names.chunks(24) {
             if !self.afford() {
                 return;
@@ -1261,7 +1313,12 @@
     }
 
     /// Records to one that lacks them.
-    fn hand_out(&mut self, to: &str, back: SocketAddr, names: Vec<String>, out: &mut Vec<Act>) {
+    fn hand_out(&mut self, to: &str, back: SocketAddr, mut names: Vec<String>, out: &mut Vec<Act>) {
+        if names.len() > HANDED && self.streams(back) {
+            // Where not all go at once, others are sent next time.
+            self.rng.shuffle(&mut names);
+            return self.hand_chunks(back, &names, out);
+        }
         let mut want = Want::default();
         for name in names {
             let Some(record) = self.whole_record(&name) else { continue };
@@ -1280,6 +1337,41 @@
         }
     }
 
+    fn streams(&self, to: SocketAddr) -> bool {
+        self.plan.streams && !self.unstreamed.contains_key(&to)
+    }
+
+    fn hand_chunks(&mut self, back: SocketAddr, names: &[String], out: &mut Vec<Act>) {
+        let (mut records, mut size) = (Vec::new(), 0);
+        for (at, name) in names.iter().enumerate() {
+            if let Some(record) = self.whole_record(name) {
+                size += prost::Message::encoded_len(&record) + 4;
+                records.push(record);
+            }
+            let last = at + 1 == names.len();
+            if (size >= CHUNK || last) && !records.is_empty() {
+                if !self.afford() {
+                    return;
+                }
+                let records = std::mem::take(&mut records);
+                self.chunk(back, Said::Want(Want { names: Vec::new(), records }), out);
+                size = 0;
+            }
+        }
+    }
+
+    fn chunk(&mut self, to: SocketAddr, said: Said, out: &mut Vec<Act>) {
+        let kind = said.name();
+        let packet = self.packet(None, Some(said), Vec::new());
+        wire::write_chunk(&packet, &mut self.spare);
+        if self.spare.len() > wire::CHUNK_MOST {
+            return;
+        }
+        self.spend(kind);
+        self.counts.chunks += 1;
+        out.push(Act::Stream { to, bytes: self.spare.clone() });
+    }
+
     // Leaving.
 
     pub fn leave(&mut self, now: Micros, out: &mut Vec<Act>) {
@@ -1375,18 +1467,7 @@
         });
         let carries = first.is_none() && matches!(said, None | Some(Said::Ping(_) | Said::Ack(_)));
         let kind = said.as_ref().map_or("news", Said::name);
-        let mut packet = Packet {
-            fleet: self.fleet,
-            from: self.me.name.clone(),
-            start: self.own.start,
-            incarnation: self.own.incarnation,
-            nonce: self.nonce,
-            address: self.body.address.clone(),
-            rev: self.rev,
-            you,
-            said,
-            records: first.into_iter().collect(),
-        };
+        let mut packet = self.packet(you, said, first.into_iter().collect());
         // One that is not known is told who asks, whole: it may not know this front either.
         let stranger = self.members.get(name).is_none_or(|m| m.rev == 0);
         if stranger {
@@ -1421,11 +1502,34 @@
             packet.records.clear();
             wire::write(&packet, &mut self.spare);
         }
-        self.budget -= self.spare.len() as f64;
+        self.spend(kind);
         self.counts.sent += 1;
+        out.push(Act::Send { to, bytes: self.spare.clone() });
+    }
+
+    fn packet(&self, you: Option<You>, said: Option<Said>, records: Vec<Record>) -> Packet {
+        Packet {
+            fleet: self.fleet,
+            from: self.me.name.clone(),
+            start: self.own.start,
+            incarnation: self.own.incarnation,
+            nonce: self.nonce,
+            address: self.body.address.clone(),
+            rev: self.rev,
+            you,
+            said,
+            records,
+        }
+    }
+
+    /// What lies ready to be sent is counted against the bytes a second.
+    fn spend(&mut self, kind: &'static str) {
+        // Answers go out whatever was sent. What a thousand that start at once cost a contact is not paid back for a
+        // minute in silence, or nobody could tell them of each other.
+        let most = (self.plan.bytes_per_s * BURST) as f64;
+        self.budget = (self.budget - self.spare.len() as f64).max(-most);
         self.counts.sent_bytes += self.spare.len() as u64;
         *self.counts.spent.entry(kind).or_default() += self.spare.len() as u64;
-        out.push(Act::Send { to, bytes: self.spare.clone() });
     }
 
     /// Of this front or of a member, with what it says of itself.
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -1,6 +1,7 @@
 //! What fronts say to each other: a datagram of at most [`MOST`] bytes, `mr`, the version of the form, a checksum
 //! (CRC-32, as in IEEE 802.3) and a protobuf message. What a member says of itself travels as it wrote it, so fields
-//! that an older build does not know are passed on by it untouched.
+//! that an older build does not know are passed on by it untouched. What is too long for datagrams goes over a
+//! stream in chunks: `mz`, the same head, and the message compressed (DEFLATE, RFC 1951).
 
 use crate::claim::{Claim, State};
 use crate::plan::TEXT_MOST;
@@ -9,6 +10,12 @@
 pub const MOST: usize = 1200;
 pub const VERSION: u8 = 1;
 const MARK: [u8; 2] = *b"mr";
+const CHUNK_MARK: [u8; 2] = *b"mz";
+/// A chunk, as it travels and unpacked: more is dropped unread.
+pub const CHUNK_MOST: usize = 64 * 1024;
+const UNPACKED_MOST: usize = 256 * 1024;
+/// Of the compressor: small before fast, but not at any price.
+const LEVEL: u8 = 6;
 const HEAD: usize = 7;
 /// Of what other modules hang on a member, all together.
 pub const VALUES_MOST: usize = 512;
@@ -264,12 +271,27 @@
 }
 
 pub fn write(packet: &Packet, into: &mut Vec<u8>) {
+    head(MARK, into);
+    // A vector grows as it needs to.
+    let _ = packet.encode(into);
+    seal(into);
+}
+
+/// The same for a stream.
+pub fn write_chunk(packet: &Packet, into: &mut Vec<u8>) {
+    head(CHUNK_MARK, into);
+    into.extend(miniz_oxide::deflate::compress_to_vec(&packet.encode_to_vec(), LEVEL));
+    seal(into);
+}
+
+fn head(mark: [u8; 2], into: &mut Vec<u8>) {
     into.clear();
-    into.extend(MARK);
+    into.extend(mark);
     into.push(VERSION);
     into.extend([0; 4]);
-    // A vector grows as it needs to.
-    let _ = packet.encode(into);
+}
+
+fn seal(into: &mut [u8]) {
     let sum = crc32fast::hash(&into[HEAD..]).to_le_bytes();
     into[HEAD - 4..HEAD].copy_from_slice(&sum);
 }
@@ -289,7 +311,8 @@
 
 pub fn read(bytes: &[u8], fleet: u64) -> Result<Packet, Dropped> {
     let Some((head, rest)) = bytes.split_first_chunk::<HEAD>() else { return Err(Dropped::Short) };
-    if head[..2] != MARK {
+    let chunk = head[..2] == CHUNK_MARK;
+    if head[..2] != MARK && !chunk {
         return Err(Dropped::Mark);
     }
     if head[2] != VERSION {
@@ -298,7 +321,9 @@
     if head[3..] != crc32fast::hash(rest).to_le_bytes() {
         return Err(Dropped::Checksum);
     }
-    let packet = Packet::decode(rest).map_err(|_| Dropped::Garbled)?;
+    let unpacked = chunk.then(|| miniz_oxide::inflate::decompress_to_vec_with_limit(rest, UNPACKED_MOST));
+    let unpacked = unpacked.transpose().map_err(|_| Dropped::Garbled)?;
+    let packet = Packet::decode(unpacked.as_deref().unwrap_or(rest)).map_err(|_| Dropped::Garbled)?;
     if packet.fleet != fleet {
         return Err(Dropped::Fleet);
     }
--- a/crates/rig/src/baselines.rs
+++ b/crates/rig/src/baselines.rs
@@ -1,7 +1,9 @@
 //! Plain protocols beside which the view is measured, on the same network.
 
 use crate::model::{address, Config, Peer};
-use meadowrill_members::view::Act;
+use meadowrill_members::claim::{refute, Claim, State};
+use meadowrill_members::view::{Act, Change, Why};
+use meadowrill_members::wire::{self, Ask, Packet, Ping, Record, Said, Seq};
 use meadowrill_members::Micros;
 use std::collections::BTreeMap;
 
@@ -76,3 +78,193 @@
         self.sent
     }
 }
+
+/// SWIM as published (Das, Gupta, Motivala 2002, with suspicion): a random order of targets, three helpers, a fixed wait,
+/// news on pings and acks. Each knows all others from the start; nothing doubts itself, nothing is compared.
+pub struct Swim {
+    me: usize,
+    names: Vec<String>,
+    period: Micros,
+    wait: Micros,
+    tells: u32,
+    at: Micros,
+    order: Vec<usize>,
+    incarnation: u64,
+    claims: Vec<(Claim, Micros)>,
+    news: BTreeMap<usize, u32>,
+    /// The open probe: its number, target, when others are asked, and when it has failed.
+    probe: Option<(u64, usize, Micros, Micros)>,
+    errands: BTreeMap<u64, (u64, usize)>,
+    seq: u64,
+    rng: fastrand::Rng,
+    sent: u64,
+}
+
+/// Suspected for so many periods times the logarithm of the fleet's size; news told that often as well, as in the paper.
+const SUSPECTED: f64 = 3.0;
+const NEWS: usize = 20;
+
+impl Swim {
+    pub fn new(config: &Config, me: usize, now: Micros, seed: u64) -> Swim {
+        let mut rng = fastrand::Rng::with_seed(seed ^ me as u64);
+        let log = (config.many as f64).log10().max(1.0);
+        Swim {
+            me,
+            names: (0..config.many).map(crate::name).collect(),
+            period: config.period,
+            wait: (SUSPECTED * log * config.period as f64) as Micros,
+            tells: (SUSPECTED * (config.many as f64).log2()) as u32,
+            at: now + rng.i64(0..config.period),
+            order: Vec::new(),
+            incarnation: 0,
+            claims: vec![(Claim::alive(1), now); config.many],
+            news: BTreeMap::new(),
+            probe: None,
+            errands: BTreeMap::new(),
+            seq: 0,
+            rng,
+            sent: 0,
+        }
+    }
+
+    fn send(&mut self, to: usize, said: Said, out: &mut Vec<Act>) {
+        let mut told: Vec<(u32, usize)> = self.news.iter().map(|(n, left)| (*left, *n)).collect();
+        told.sort_by_key(|(left, _)| std::cmp::Reverse(*left));
+        let mut records = Vec::new();
+        for (_, n) in told.into_iter().take(NEWS) {
+            let claim = if n == self.me { self.own() } else { self.claims[n].0 };
+            let (start, incarnation, state) = (claim.start, claim.incarnation, claim.state as u32);
+            records.push(Record {
+                name: self.names[n].clone(),
+                start,
+                incarnation,
+                state,
+                ..Record::default()
+            });
+            if let Some(left) = self.news.get_mut(&n) {
+                *left -= 1;
+            }
+        }
+        self.news.retain(|_, left| *left > 0);
+        let from = self.names[self.me].clone();
+        let packet = Packet { from, said: Some(said), records, ..Packet::default() };
+        let mut bytes = Vec::new();
+        wire::write(&packet, &mut bytes);
+        self.sent += bytes.len() as u64;
+        out.push(Act::Send { to: address(to), bytes });
+    }
+
+    fn own(&self) -> Claim {
+        Claim { incarnation: self.incarnation, ..Claim::alive(1) }
+    }
+
+    fn number(&self, name: &str) -> Option<usize> {
+        name.strip_prefix("front-")?.parse().ok().filter(|n| *n < self.claims.len())
+    }
+
+    fn take(&mut self, n: usize, claim: Claim, now: Micros, out: &mut Vec<Act>) {
+        if n == self.me {
+            if let Some(own) = refute(self.own(), claim) {
+                self.incarnation = own.incarnation;
+                self.news.insert(n, self.tells);
+            }
+            return;
+        }
+        let former = self.claims[n].0;
+        if claim.overrules(&former) {
+            self.claims[n] = (claim, now);
+            self.news.insert(n, self.tells);
+            let (from, to) = (Some(former.state), claim.state);
+            let (name, by) = (self.names[n].clone(), String::new());
+            let (start, incarnation) = (claim.start, claim.incarnation);
+            out.push(Act::Tell(Change::Member { name, from, to, start, incarnation, why: Why::Heard, by }));
+        }
+    }
+}
+
+impl Peer for Swim {
+    fn hear(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<Act>) {
+        let Ok(packet) = wire::read(bytes, 0) else { return };
+        let Some(from) = self.number(&packet.from) else { return };
+        for record in &packet.records {
+            if let (Some(n), Some(claim)) = (self.number(&record.name), record.claim()) {
+                self.take(n, claim, now, out);
+            }
+        }
+        match packet.said {
+            Some(Said::Ping(ping)) => self.send(from, Said::Ack(Seq { seq: ping.seq }), out),
+            Some(Said::Ack(Seq { seq })) => {
+                if let Some((back, to)) = self.errands.remove(&seq) {
+                    self.send(to, Said::Ack(Seq { seq: back }), out);
+                } else if self.probe.is_some_and(|(open, ..)| open == seq) {
+                    self.probe = None;
+                }
+            }
+            Some(Said::Ask(ask)) => {
+                if let Some(target) = self.number(&ask.target) {
+                    self.seq += 1;
+                    self.errands.insert(self.seq, (ask.seq, from));
+                    self.errands.retain(|seq, _| seq + 1000 > self.seq);
+                    self.send(target, Said::Ping(Ping { seq: self.seq, to: ask.target }), out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut Vec<Act>) {
+        if let Some((seq, target, ask, end)) = self.probe {
+            if now >= end {
+                self.probe = None;
+                let claim = self.claims[target].0.with(State::Suspected);
+                self.take(target, claim, now, out);
+            } else if now >= ask && ask > 0 {
+                self.probe = Some((seq, target, 0, end));
+                for _ in 0..3 {
+                    let helper = self.rng.usize(0..self.claims.len());
+                    if helper != self.me && self.claims[helper].0.state.here() {
+                        let target = self.names[target].clone();
+                        self.send(helper, Said::Ask(Ask { seq, target, address: String::new() }), out);
+                    }
+                }
+            }
+        }
+        let over = |(claim, at): &(Claim, Micros)| claim.state == State::Suspected && now - at >= self.wait;
+        let over: Vec<usize> = (0..self.claims.len()).filter(|n| over(&self.claims[*n])).collect();
+        for n in over {
+            self.take(n, self.claims[n].0.with(State::Dead), now, out);
+        }
+        if now >= self.at {
+            self.at = now + self.period;
+            self.order.retain(|n| self.claims[*n].0.state.here());
+            if self.order.is_empty() {
+                let here = |n: &usize| *n != self.me && self.claims[*n].0.state.here();
+                self.order = (0..self.claims.len()).filter(here).collect();
+                self.rng.shuffle(&mut self.order);
+            }
+            if let Some(target) = self.order.pop().filter(|_| self.probe.is_none()) {
+                self.seq += 1;
+                let third = self.period / 3;
+                self.probe = Some((self.seq, target, now + third, now + self.period - 1));
+                self.send(target, Said::Ping(Ping { seq: self.seq, to: String::new() }), out);
+            }
+        }
+    }
+
+    fn next(&self) -> Micros {
+        self.probe.map_or(self.at, |(_, _, ask, end)| self.at.min(if ask > 0 { ask } else { end }))
+    }
+
+    fn here(&self) -> Vec<&str> {
+        let here = |n: &usize| *n != self.me && self.claims[*n].0.state.here();
+        (0..self.claims.len()).filter(here).map(|n| self.names[n].as_str()).collect()
+    }
+
+    fn holds(&self, name: &str) -> bool {
+        self.number(name).is_some_and(|n| n != self.me && self.claims[n].0.state.here())
+    }
+
+    fn sent_bytes(&self) -> u64 {
+        self.sent
+    }
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Parser, Subcommand};
 use meadowrill_rig::script::{draw, play, shrink, Tools};
 use std::os::unix::process::CommandExt;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
 
 /// Starts fleets of meadowrill on loopback, breaks things between them, and checks what they make of it
@@ -26,6 +26,12 @@
         #[arg(long)]
         mutant: Option<String>,
     },
+    /// Play broken builds, each with the script that has to fail with it; needs a build with the feature `mutants`
+    Mutants {
+        /// Lines of a fault and a script beside the list
+        #[arg(default_value = "crates/rig/scripts/mutants.list")]
+        list: PathBuf,
+    },
     /// Draw schedules by seeds and play them; one that fails is shrunk and kept
     Draw {
         #[arg(long, default_value_t = 1)]
@@ -58,6 +64,33 @@
     ExitCode::FAILURE
 }
 
+/// How many broken builds were not found.
+fn mutants(list: &Path, here: &Path) -> std::io::Result<u32> {
+    let mut missed = 0;
+    for line in std::fs::read_to_string(list)?.lines().filter(|line| !line.starts_with('#')) {
+        let (mutant, script) = line.split_once(' ').unwrap_or((line, ""));
+        let text = std::fs::read_to_string(list.with_file_name(format!("{script}.txt")))?;
+        let tools = Tools { mutant: Some(mutant.into()), ..Tools::beside(here) };
+        match play(&text, &tools) {
+            Err(failed) if !failed.text.starts_with('+') => {
+                println!(
+                    "{mutant}: found by {script}, line {}: {}: {}",
+                    failed.line, failed.text, failed.why
+                );
+            }
+            Err(failed) => {
+                missed += 1;
+                println!("{mutant}: {script} could not be played: {}: {}", failed.text, failed.why);
+            }
+            Ok(_) => {
+                missed += 1;
+                println!("{mutant}: NOT found by {script}");
+            }
+        }
+    }
+    Ok(missed)
+}
+
 fn main() -> ExitCode {
     let here = std::env::current_exe().unwrap_or_default();
     let mut bad = 0;
@@ -85,6 +118,13 @@
                 }
             }
         }
+        What::Mutants { list } => match mutants(&list, &here) {
+            Ok(missed) => bad += missed,
+            Err(e) => {
+                bad += 1;
+                println!("{}: {e}", list.display());
+            }
+        },
         What::Draw { seed, runs, fronts, keep } => {
             for seed in seed..seed + runs {
                 let text = draw(seed, fronts);
--- a/crates/rig/src/model.rs
+++ b/crates/rig/src/model.rs
@@ -10,6 +10,8 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
 
+/// After so long a stream sends again what was lost.
+const RETRANSMIT: Micros = 200_000;
 /// Unix time at which models begin.
 const BEGIN: Micros = 1_700_000_000 * SEC;
 
@@ -39,6 +41,7 @@
     fn here(&self) -> Vec<&str>;
     fn holds(&self, name: &str) -> bool;
     fn sent_bytes(&self) -> u64;
+    fn unstreamed(&mut self, _: Micros, _: SocketAddr) {}
 }
 
 impl Peer for View {
@@ -65,6 +68,10 @@
     fn sent_bytes(&self) -> u64 {
         self.counts.sent_bytes
     }
+
+    fn unstreamed(&mut self, now: Micros, to: SocketAddr) {
+        View::unstreamed(self, now, to);
+    }
 }
 
 /// One that a peer believed of another.
@@ -89,6 +96,7 @@
     Tick(usize, u64),
     Arrive(usize, Vec<u8>),
     Resume(usize),
+    Unstreamed(usize, usize),
 }
 
 pub type Make<P> = Box<dyn Fn(&Config, usize, u64, Micros) -> P>;
@@ -102,6 +110,7 @@
     pub many: usize,
     pub bytes_per_s: u64,
     pub own_health: bool,
+    pub streams: bool,
 }
 
 impl Config {
@@ -114,6 +123,7 @@
             many,
             bytes_per_s: 4000,
             own_health: true,
+            streams: true,
         }
     }
 }
@@ -159,6 +169,7 @@
             plan.remember = config.remember;
             plan.bytes_per_s = config.bytes_per_s;
             plan.own_health = config.own_health;
+            plan.streams = config.streams;
             plan.zone = format!("zone-{}", n % 4);
             let me = Me { name: name(n), version: "0.1.0".into(), start };
             View::new(plan, me, now, config.seed ^ start)
@@ -269,6 +280,7 @@
             match act {
                 Act::Tell(change) => self.seen.push(Seen { at: self.now, by: n, change }),
                 Act::Send { to, bytes } => self.post(n, number(to), bytes),
+                Act::Stream { to, bytes } => self.stream(n, number(to), bytes),
             }
         }
         self.arm(n);
@@ -296,6 +308,24 @@
         }
     }
 
+    /// A stream brings all or nothing: what is lost is sent again, later each time; to one that is not there it does
+    /// not come up, and where nothing passes it fails after a while.
+    fn stream(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        self.datagrams += 1;
+        let apart = self.sides.as_ref().is_some_and(|s| s.get(from) != s.get(to));
+        let cut = self.cut.contains_key(&(from, to)) || self.cut.contains_key(&(to, from));
+        if to >= self.nodes.len() || apart || cut || self.nodes[to].peer.is_none() {
+            let at = self.now + self.config.period;
+            return self.at(at, Next::Unstreamed(from, to));
+        }
+        let trips = 4 * (self.network.delay + self.network.jitter);
+        let mut at = self.now + trips;
+        while self.rng.f64() < self.network.loss {
+            at += RETRANSMIT;
+        }
+        self.at(at, Next::Arrive(to, bytes));
+    }
+
     fn arrive(&mut self, n: usize, bytes: Vec<u8>) {
         let now = self.now;
         if now < self.nodes[n].paused {
@@ -339,6 +369,11 @@
                     self.tick(n);
                     kept.into_iter().for_each(|bytes| self.arrive(n, bytes));
                 }
+                Next::Unstreamed(from, to) => {
+                    if let Some(peer) = &mut self.nodes[from].peer {
+                        peer.unstreamed(self.now, address(to));
+                    }
+                }
                 Next::Tick(n, start) => {
                     if self.nodes[n].start == start && self.nodes[n].armed == at && at >= self.nodes[n].paused
                     {
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -8,10 +8,10 @@
 //!   `mark` (what follows counts from here), `wait`.
 //! - WHO is `all`, `3`, `1,4,7`, `2-5`, `zone1`, or `70%` (drawn by the seed; the same ones each time it stands).
 //! - FAULT is `cut`, `loss=0.1`, `burst=5`, `delay=20`, `jitter=10`, `doubled=0.1`, `short=0.1`, `flipped=0.1`,
-//!   `slow=2000` (bytes a second), `flap=500` (ms up, ms down).
+//!   `slow=2000` (bytes a second), `flap=500` (ms up, ms down); of streams, `reset` and `half_open`.
 //! - `expect settled within S`, `expect dead WHO within S` (at all others that run), `expect known WHO within S` (the
 //!   latest start, alive, at all others), `expect nobody dead [but WHO]`, `expect swings N` (at most), `expect served
-//!   SHARE` (at least, of what clients asked), `expect answers` (none late or twice), `expect running` (no crash),
+//!   SHARE` (at least, of what clients asked), `expect streamed N` (bytes over streams, at least), `expect answers` (none late or twice), `expect running` (no crash),
 //!   `expect says WHO TEXT` (in its log).
 
 use crate::check::{self, Groups};
@@ -176,6 +176,8 @@
                 "flipped" => fault.flipped = value,
                 "slow" => fault.slow = value,
                 "flap" => fault.flap_ms = value,
+                "reset" => fault.reset = true,
+                "half_open" => fault.half_open = true,
                 other => return Err(format!("no fault: {other}")),
             }
         }
@@ -375,6 +377,12 @@
                 self.figures.push((text.to_string(), share));
                 (asked > 0 && share >= least).then_some(()).ok_or(all)
             }
+            "streamed" => {
+                let least: u64 = word(1).parse().map_err(|_| "no number".to_string())?;
+                let seen: u64 = self.fleet.relays.counts().values().map(|count| count.streamed).sum();
+                self.figures.push((text.to_string(), seen as f64));
+                (seen >= least).then_some(()).ok_or(format!("{seen} bytes over streams"))
+            }
             "running" => {
                 let crashed = self.fleet.crashed();
                 crashed.is_empty().then_some(()).ok_or(format!("ended by themselves: {crashed:?}"))
