--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -265,6 +265,14 @@
                 }
                 self.card.carried.add(now, work, DRIFT);
             }
+            // Guards a front that starts against paying again for what others know; its own sight overrules it soon.
+            Note::Thought(failing, first_byte) if self.card.tried_at == 0 => {
+                self.card.failing = Smooth::at(failing.clamp(0.0, 1.0));
+                if let Some(time) = first_byte {
+                    self.card.first_byte.add(now, time as f64, 1.0);
+                }
+            }
+            Note::Thought(..) => return,
             Note::Posted(..) | Note::Sent(_) | Note::Turned(..) | Note::Crowded(_) => return,
         }
         self.post(room);
@@ -749,8 +757,7 @@
         let (lk, ended) = (held.lk, held.ended);
         let Some(send) = held.sends.get_mut(usize::from(o.send)).filter(|s| s.out) else { return };
         send.out = false;
-        use Ending::{Broken, Cancelled, Error, Satisfied, TimedOut};
-        send.may_have_run = matches!(o.ending, Satisfied | Error | TimedOut | Broken | Cancelled);
+        send.may_have_run = o.ending.may_have_run();
         let upstream = matches!(o.remark, Remark::SourceRefused | Remark::SourceLost | Remark::OriginFailed);
         let told = room.rules.text("specifics.says") == "all";
         // Who is at fault: the cache, the source, or either where nothing tells.
@@ -976,6 +983,13 @@
                 let last = desk.purged.get(now, name).unwrap_or(Micros::MIN);
                 desk.purged.put(now, name, last.max(now - ago));
             }
+            Event::Recalled { object, highest } => {
+                let known = desk.lengths.get(room.now, object).unwrap_or(0);
+                desk.lengths.put(room.now, object, known.max(highest));
+            }
+            Event::Thought { peer, failing, first_byte } => {
+                room.tell(peer, Note::Thought(failing, first_byte));
+            }
             Event::Probed { .. } | Event::Heard { .. } => {}
         }
         self.pump();
--- a/crates/core/src/door.rs
+++ b/crates/core/src/door.rs
@@ -33,6 +33,10 @@
         ix
     }
 
+    pub fn known(&self, name: &K) -> Option<PeerIx> {
+        self.index.get(name).copied()
+    }
+
     pub fn name(&self, ix: PeerIx) -> &K {
         &self.names[ix]
     }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -75,6 +75,14 @@
     Miss,
 }
 
+impl Ending {
+    /// Whether a send that ended so may have run (the wire's page on how attempts end).
+    pub fn may_have_run(self) -> bool {
+        use Ending::{Broken, Cancelled, Error, Satisfied, TimedOut};
+        matches!(self, Satisfied | Error | TimedOut | Broken | Cancelled)
+    }
+}
+
 /// What the cache says of how it came by its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Remark {
@@ -135,6 +143,17 @@
         from: u16,
         bytes: Vec<u8>,
     },
+    /// Other fronts saw this part of an object asked for: the highest of late.
+    Recalled {
+        object: u64,
+        highest: u32,
+    },
+    /// What other fronts make of a machine: its share of failures, and its first-byte time if it is a source.
+    Thought {
+        peer: PeerIx,
+        failing: f64,
+        first_byte: Option<Micros>,
+    },
     /// One object (all parts) or, with none, a group was purged so long ago.
     Purged {
         object: Option<u64>,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -190,6 +190,8 @@
 #[derive(Clone, Debug)]
 pub enum Note {
     Listed(Entry),
+    /// What others make of it: share of failures, first-byte time.
+    Thought(f64, Option<Micros>),
     Unlisted,
     Sweep,
     Lend(Bid),
--- a/crates/front/src/cli.rs
+++ b/crates/front/src/cli.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Config;
 use clap::{Parser, Subcommand};
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::os::unix::net::UnixStream;
@@ -41,6 +42,8 @@
         /// As JSON
         #[arg(long)]
         json: bool,
+        #[command(subcommand)]
+        of: Option<Of>,
     },
     /// Ask a running front for its metrics, as scrapers read them
     Metrics {
@@ -55,6 +58,43 @@
     },
 }
 
+/// What the fronts share
+#[derive(Debug, Subcommand)]
+pub enum Of {
+    /// What is held, by kind: records, bytes, and what is hearsay
+    State,
+    /// Entry by entry, how another front differs
+    Diff {
+        /// The other's operators' socket
+        other: PathBuf,
+    },
+    /// One key's story: the mark that its client tells, and the class
+    Ledger { mark: String, class: String },
+}
+
+/// Lines that one of two has and the other has not, by kind and name.
+pub fn diff(here: &str, there: &str) -> String {
+    fn by_name(text: &str) -> BTreeMap<(&str, &str), &str> {
+        let lines = text.lines().map(|line| line.splitn(3, ' '));
+        lines.filter_map(|mut words| Some(((words.next()?, words.next()?), words.next()?))).collect()
+    }
+    let (here, there) = (by_name(here), by_name(there));
+    let mut text = String::new();
+    for (name, said) in &here {
+        match there.get(name) {
+            None => text += &format!("only here:  {} {} {said}\n", name.0, name.1),
+            Some(other) if other != said => {
+                text += &format!("differs:    {} {} {said} | {other}\n", name.0, name.1);
+            }
+            Some(_) => {}
+        }
+    }
+    for (name, said) in there.iter().filter(|(name, _)| !here.contains_key(*name)) {
+        text += &format!("only there: {} {} {said}\n", name.0, name.1);
+    }
+    text + &format!("{} here, {} there\n", here.len(), there.len())
+}
+
 /// What kind of file it was, or what is wrong with it.
 pub fn check(file: &Path) -> Result<&'static str, String> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -101,6 +101,10 @@
     pub door: Kind,
     /// Its lookups carry a mark against repeats.
     pub keyed: bool,
+    /// To run one twice is not the same as once.
+    pub effect: bool,
+    /// How long the origin drops repeats of a mark, whichever cache they come by; 0 where it does not.
+    pub window: Micros,
 }
 
 /// A part of the configuration with its path.
@@ -219,6 +223,9 @@
         if own.fleet != self.own.fleet {
             later.push("fleet");
         }
+        if own.replica != self.own.replica {
+            later.push("fleet.replica");
+        }
         let fixed = ["name", "listen", "seed", "limits", "settings", "flow_bytes_per_s", "link_bytes_per_s"];
         later.extend(fixed.into_iter().filter(|key| self.text.get(key) != fresh.text.get(key)));
         later
@@ -256,12 +263,16 @@
             let class = Node { value: class, path: format!("settings.classes.{at}") };
             let deadline_ms = class.get("deadline_s").number(LONGEST, 0.001)? * 1e3;
             let keyed = class.get("repeat").value.is_some_and(|repeat| repeat == "keyed");
+            let effect = class.get("repeat").value.is_some_and(|repeat| repeat != "safe");
+            let all = class.get("group").value.is_some_and(|group| group == "all");
+            let ttl = class.get("key_ttl_s").number(0.0, 0.0)?;
+            let window = if keyed && all { door::micros(ttl) } else { 0 };
             let door = Kind {
                 worth: class.get("worth").number(1.0, 0.0)?,
                 budget: door::micros(class.get("goal_time_s").number(1.0, 0.0)?),
                 stretch: class.get("aim_stretch").number(0.0, 0.0)?,
             };
-            Ok(Class { name, deadline_ms, door, keyed })
+            Ok(Class { name, deadline_ms, door, keyed, effect, window })
         };
         let classes = classes.into_iter().enumerate().map(class).collect::<Result<Vec<_>, _>>()?;
         let longest = classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -8,9 +8,10 @@
 mod lookups;
 mod outcomes;
 mod passage;
+mod shared;
 
 use self::clock::{Clock, Timer};
-use self::lookups::Taken;
+use self::lookups::{Effect, Taken};
 use crate::config::Config;
 use crate::frame;
 use crate::net::caches::{Caches, Ended};
@@ -93,6 +94,10 @@
     spare: Spare,
     /// Cache connections that wait until rings have room again.
     held_back: BTreeSet<Key>,
+    /// It was told to end.
+    ending: bool,
+    /// When the snapshot was written last.
+    kept_at: Micros,
     /// When the last lookup was done with, once the front is ending.
     done_at: Option<Micros>,
 }
@@ -118,7 +123,8 @@
             Bounds { lookups: config.lookups, bytes: config.buffers, longest_away: config.longest_away };
         let operators = config.own.socket.as_ref().map(|path| Operators::listen(Path::new(path), &poll));
         let fleet = config.own.fleet.as_ref();
-        let fronts = fleet.map(|plan| Fronts::listen(plan, &config.name, now, config.seed, &poll));
+        let shared = config.own.replica.as_ref();
+        let fronts = fleet.map(|plan| Fronts::listen(plan, shared, &config.name, now, config.seed, &poll));
         let mut front = Front {
             module,
             poll,
@@ -145,16 +151,21 @@
             events: Vec::new(),
             spare: Spare::default(),
             held_back: BTreeSet::new(),
+            ending: false,
+            kept_at: now,
             done_at: None,
             clock,
             log,
             config,
         };
+        // Where state is shared, other fronts are asked for it first.
+        front.clients.ready = !front.shares();
         front.know(now);
+        front.restore(now);
         front.hand_over(now, actions);
         front.timers.push(Reverse((now, Timer::Tick)));
         front.follow_plan(now);
-        front.with_fronts(|_, _| {});
+        front.with_fronts(now, |_, _| {});
         Ok(front)
     }
 
@@ -177,6 +188,10 @@
             let actions = std::mem::take(&mut self.spare.actions);
             self.hand_over(now, actions);
         }
+        if let Some(kept) = self.keep(self.clock.now()) {
+            // A panic there was told by its hook.
+            let _ = kept.join();
+        }
         info!(self.log, "ended");
         Ok(())
     }
@@ -234,7 +249,7 @@
                     Key::Operator(number) => {
                         self.operators.iter_mut().for_each(|o| o.drop(number, &self.poll))
                     }
-                    Key::Stream(number) => self.with_fronts(|fronts, poll| {
+                    Key::Stream(number) => self.with_fronts(now, |fronts, poll| {
                         // What was left for it is found by the next comparison.
                         fronts.streams.drop(number, poll);
                     }),
@@ -263,18 +278,18 @@
     fn ready(&mut self, key: Key, ready: Readiness, now: Micros) {
         match key {
             Key::Door => self.knocking = true,
-            Key::Signal if self.clients.ready => {
+            Key::Signal if !self.ending => {
                 info!(self.log, "ending"; "open" => self.lookups.len());
-                self.clients.ready = false;
-                self.with_fronts(|fronts, poll| fronts.leave(now, poll));
+                (self.ending, self.clients.ready) = (true, false);
+                self.with_fronts(now, |fronts, poll| fronts.leave(now, poll));
                 self.timers.push(Reverse((now + LINGER, Timer::Part)));
             }
             Key::Signal => {}
             Key::Reload => self.reload(now),
-            Key::Fronts => self.with_fronts(|fronts, poll| fronts.read(now, poll)),
-            Key::Chunks => self.with_fronts(|fronts, poll| fronts.streams.accept(now, poll)),
+            Key::Fronts => self.with_fronts(now, |fronts, poll| fronts.read(now, poll)),
+            Key::Chunks => self.with_fronts(now, |fronts, poll| fronts.streams.accept(now, poll)),
             Key::Stream(number) => {
-                self.with_fronts(|fronts, poll| fronts.stream(number, ready, now, poll));
+                self.with_fronts(now, |fronts, poll| fronts.stream(number, ready, now, poll));
             }
             Key::Report => report::log(&self.log, &self.door.report()),
             Key::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.poll)),
@@ -289,6 +304,20 @@
                         (Some(fronts), "fleet") => report::fleet::table(fronts.view(), now),
                         (Some(fronts), _) => report::fleet::json(fronts.view(), now),
                     },
+                    word if word.starts_with("fleet ") => {
+                        match fronts.as_ref().and_then(|fronts| fronts.replica.as_ref()) {
+                            None => "no fleet { replica { } } in the settings\n".to_string(),
+                            Some(replica) => match &word["fleet ".len()..] {
+                                "state" => report::shared::state(replica, now),
+                                "state json" => report::shared::state_json(replica),
+                                "entries" => report::shared::entries(replica),
+                                word => match word.strip_prefix("ledger ") {
+                                    Some(key) => report::shared::story(replica, key, now),
+                                    None => "state, entries or ledger KEY\n".to_string(),
+                                },
+                            },
+                        }
+                    }
                     "counts" => format!("{}{}", calls.text(), counts.map_or(String::new(), |more| more())),
                     _ => "turns, metrics, fleet or counts\n".to_string(),
                 };
@@ -380,6 +409,9 @@
         self.caches.sweep(now, &self.poll);
         self.clients.sweep(now, &mut self.poll);
         self.follow(now, |journal, poll, news| journal.keep_up(now, poll, news));
+        if !self.ending {
+            self.keep(now);
+        }
         self.timers.push(Reverse((now + TICK, Timer::Tick)));
     }
 
@@ -425,9 +457,11 @@
                     if let Some(taken) = self.lookups.get_mut(&lookup) {
                         taken.owed = false;
                         let waited = taken.place.take().is_some_and(|place| self.door.left(now, place));
-                        if !waited {
+                        let asking = taken.effect == Effect::Asking;
+                        if !waited && !asking {
                             self.events.push(Event::Left { id: lookup });
                         }
+                        self.effect_over(lookup, None, now);
                         self.settle(lookup);
                     }
                 }
--- a/crates/front/src/front/fleet.rs
+++ b/crates/front/src/front/fleet.rs
@@ -13,12 +13,14 @@
 
 impl Front {
     /// One step with the other fronts, and what changed by it.
-    pub(super) fn with_fronts(&mut self, step: impl FnOnce(&mut Fronts, &mut Poll)) {
+    pub(super) fn with_fronts(&mut self, now: Micros, step: impl FnOnce(&mut Fronts, &mut Poll)) {
         let Some(fronts) = &mut self.fronts else { return };
         step(fronts, &mut self.poll);
         for change in fronts.changes() {
             tell(&self.log, change);
         }
+        self.do_shared(now);
+        let Some(fronts) = &self.fronts else { return };
         let next = fronts.next();
         if self.fleet_at != next {
             self.fleet_at = next;
@@ -30,7 +32,7 @@
     pub(super) fn fleet_rang(&mut self, at: Micros, now: Micros) {
         if at == self.fleet_at {
             self.fleet_at = 0;
-            self.with_fronts(|fronts, poll| fronts.tick(now, poll));
+            self.with_fronts(now, |fronts, poll| fronts.tick(now, poll));
         }
     }
 }
--- a/crates/front/src/front/list.rs
+++ b/crates/front/src/front/list.rs
@@ -31,13 +31,19 @@
         match news {
             Err(what) => warn!(self.log, "journal"; "what" => what),
             Ok(Change::Purge { object, group, stamp }) => {
+                if let Some(fronts) = &mut self.fronts {
+                    fronts.share(|replica, _| replica.put_purge(now, object, group, stamp));
+                }
                 self.events.push(Event::Purged { object, group, ago: now - stamp });
             }
             Ok(Change::Hosts { complete, members }) => {
                 info!(self.log, "list"; "complete" => complete, "members" => members.len());
+                let members: Vec<Member> = members.into_iter().map(|m| self.share_machine(m, now)).collect();
+                let ids: Vec<String> = members.iter().map(|m| m.id.clone()).collect();
                 let entries = members.into_iter().map(|m| self.entry(m)).collect();
                 let listing = if complete { Listing::Full(entries) } else { Listing::Delta(entries) };
                 self.events.push(Event::Listed(listing));
+                ids.iter().for_each(|id| self.recall_machine(id));
             }
         }
     }
--- a/crates/front/src/front/lookups.rs
+++ b/crates/front/src/front/lookups.rs
@@ -25,6 +25,20 @@
     pub(super) done: Done,
     /// By the number of the send: the connection and the serial, while it is out.
     pub(super) sends: SmallVec<[Option<(u64, u64)>; 4]>,
+    /// Where effects are written down: how far its claim has come, and whether a send of it may have run.
+    pub(super) effect: Effect,
+    pub(super) ran: bool,
+}
+
+/// A lookup with an effect, at the ledger that the fronts share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Effect {
+    None,
+    Asking,
+    /// Let go; `again` where another's claim may have run before it.
+    Out {
+        again: bool,
+    },
 }
 
 impl Front {
@@ -52,7 +66,20 @@
         let (asker, kind) = (self.names.asker(seen), usable.unwrap_or(0));
         let (size_kb, bytes) = (request.size_kb, request.body.len() as u32);
         let (sends, done) = (SmallVec::new(), Done::default());
-        let taken = Taken { client, stream, request, kind, expires, owed: true, place: None, done, sends };
+        let (effect, ran) = (Effect::None, false);
+        let taken = Taken {
+            client,
+            stream,
+            request,
+            kind,
+            expires,
+            owed: true,
+            place: None,
+            done,
+            sends,
+            effect,
+            ran,
+        };
         self.lookups.insert(lookup, taken);
         if let Err(what) = usable {
             debug!(self.log, "lookup unusable"; "client" => client, "why" => what);
@@ -70,7 +97,7 @@
             taken.place = place;
         }
         match verdict {
-            Ok(true) => self.ask(lookup),
+            Ok(true) => self.ask(lookup, now),
             Ok(false) => {}
             Err(away) => self.turn_away(lookup, away, now),
         }
@@ -111,6 +138,9 @@
             self.door.ended(now, place, taken.done);
         }
         let whose = (taken.client, taken.stream);
+        if taken.effect != Effect::None {
+            self.effect_over(lookup, None, now);
+        }
         self.settle(lookup);
         Some(whose)
     }
--- a/crates/front/src/front/outcomes.rs
+++ b/crates/front/src/front/outcomes.rs
@@ -1,5 +1,6 @@
 //! Sends that have ended: what the module hears of them, and the answer that a client gets of the first that satisfies.
 
+use super::lookups::Effect;
 use super::Front;
 use crate::frame;
 use crate::net::caches::{ending, report, Ended};
@@ -65,6 +66,10 @@
                 taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb, left: false };
                 let current = head.status == 304;
                 let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
+                if self.lookups.get(&out.lookup).is_some_and(|t| t.owed && t.effect != Effect::None) {
+                    let body = self.caches.body(*conn, head).to_vec();
+                    self.effect_over(out.lookup, Some((current, body)), now);
+                }
                 if let Some((client, stream)) = self.answered(out.lookup, now) {
                     let body = self.caches.body(*conn, head);
                     let answer = (frame::SATISFIED, fields, body);
@@ -72,6 +77,12 @@
                 }
             }
         }
+        if let Some(taken) = self.lookups.get_mut(&out.lookup) {
+            taken.ran |= ending.may_have_run();
+        }
+        if self.shares() {
+            self.saw_end(&outcome);
+        }
         outcome.finished = self.lookups.get(&out.lookup).is_none_or(|taken| !taken.owed);
         self.events.push(Event::Ended(outcome));
         self.settle(out.lookup);
--- a/crates/front/src/front/passage.rs
+++ b/crates/front/src/front/passage.rs
@@ -6,11 +6,22 @@
 use meadowrill_turns::door::{Away, Turn};
 use slog::debug;
 
-use super::lookups::Taken;
+use super::lookups::{Effect, Taken};
 
 impl Front {
+    /// A lookup that was let in goes on to the decisions, by the ledger where it has an effect and there is one.
+    pub(super) fn ask(&mut self, lookup: u32, now: Micros) {
+        if self.shares() {
+            self.saw_asked(lookup, now);
+            if self.claims(lookup, now) {
+                return;
+            }
+        }
+        self.decide(lookup);
+    }
+
     /// Hands a lookup to the decisions.
-    pub(super) fn ask(&mut self, lookup: u32) {
+    pub(super) fn decide(&mut self, lookup: u32) {
         let Some(Taken { request, kind, expires, .. }) = self.lookups.get(&lookup) else { return };
         let (object, part, group, size_kb) = (request.object, request.slice, request.set, request.size_kb);
         let asked = Lookup { id: lookup, object, part, size_kb, group, kind: *kind, expires: *expires };
@@ -27,6 +38,10 @@
     }
 
     pub(super) fn nack(&mut self, lookup: u32, come_back: Micros, now: Micros) {
+        // Nothing of this claim ran, but something of one before it may have.
+        if self.lookups.get(&lookup).is_some_and(|t| t.effect == Effect::Out { again: true }) {
+            return self.answer(lookup, (frame::FAILED, &[], &[]), now);
+        }
         let later = (come_back / 1000).to_string();
         let fields: &[(&str, &str)] = if come_back >= 1000 { &[("later", &later)] } else { &[] };
         self.answer(lookup, (frame::NACKED, fields, &[]), now);
@@ -43,7 +58,7 @@
                     self.metrics
                         .waited(names.get(usize::from(tenant)).map_or("", |t| &t.name), waited as f64 / 1e6);
                     debug!(self.log, "waited"; "lookup" => id, "us" => waited);
-                    self.ask(id);
+                    self.ask(id, now);
                 }
                 Turn::Away { id, away } => {
                     if let Some(taken) = self.lookups.get_mut(&id) {
--- /dev/null
+++ b/crates/front/src/front/shared.rs
@@ -0,0 +1,283 @@
+//! What the fronts share, in the loop: keyed lookups wait for the ledger's word, what others heard of purges and machines
+//! counts as told, and what they learned is handed to the decisions. Nothing of this is there without
+//! `fleet { replica { ... } }` in the settings.
+
+use super::lookups::{Effect, Taken};
+use super::Front;
+use crate::frame;
+use crate::net::journal::Member;
+use meadowrill_core::interface::*;
+use meadowrill_replica::kinds;
+use meadowrill_replica::ledger::{End, Terms, Word};
+use meadowrill_replica::replica::{sight_of_machine, thing, Act, Thing, Told};
+use slog::{debug, info, warn};
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::thread::{self, JoinHandle};
+
+impl Front {
+    pub(super) fn shares(&self) -> bool {
+        self.fronts.as_ref().is_some_and(|fronts| fronts.replica.is_some())
+    }
+
+    /// What is shared wants this done.
+    pub(super) fn do_shared(&mut self, now: Micros) {
+        let Some(fronts) = &mut self.fronts else { return };
+        for act in fronts.take_acts() {
+            match act {
+                Act::Word(word) => self.word(word, now),
+                Act::Purged { object, group, stamp } => {
+                    self.events.push(Event::Purged { object, group, ago: now - stamp });
+                }
+                Act::Machine { id, start, phase, machine } => self.hearsay(&id, start, phase, &machine),
+                Act::Learned { what } => self.learned(&what),
+                Act::Tell(told) => self.tell_shared(told),
+                // These have gone to other fronts already.
+                Act::Send { .. } | Act::Stream { .. } => {}
+            }
+        }
+    }
+
+    /// What was kept across a start counts as told, before the first lookup.
+    pub(super) fn restore(&mut self, now: Micros) {
+        let Some(path) = self.snapshot_path() else { return };
+        let bytes = match std::fs::read(&path) {
+            Ok(bytes) => bytes,
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => return info!(self.log, "no snapshot yet"),
+            Err(e) => return warn!(self.log, "snapshot refused"; "why" => %e),
+        };
+        let Some(fronts) = &mut self.fronts else { return };
+        let taken = fronts.share(|replica, acts| {
+            let taken = replica.restore(now, &bytes);
+            replica.recall(acts);
+            taken
+        });
+        match taken {
+            Some(Ok((records, age))) => {
+                info!(self.log, "snapshot taken in"; "records" => records, "age_us" => age);
+            }
+            Some(Err(refused)) => warn!(self.log, "snapshot refused"; "why" => refused.name()),
+            None => {}
+        }
+    }
+
+    fn snapshot_path(&self) -> Option<PathBuf> {
+        self.config.own.replica.as_ref().and_then(|shared| shared.snapshot.as_ref()).map(PathBuf::from)
+    }
+
+    /// Writes what is held, beside the loop: packing and the disk take their time.
+    pub(super) fn keep(&mut self, now: Micros) -> Option<JoinHandle<()>> {
+        let path = self.snapshot_path()?;
+        let every = self.config.own.replica.as_ref().map_or(0, |shared| shared.snapshot_every);
+        if now < self.kept_at + every as Micros * 1_000_000 && !self.ending {
+            return None;
+        }
+        self.kept_at = now;
+        let pack = self.fronts.as_ref()?.replica.as_ref()?.snapshot(now);
+        let log = self.log.clone();
+        Some(thread::spawn(move || {
+            let aside = path.with_extension("aside");
+            let write = || -> io::Result<()> {
+                let mut file = File::create(&aside)?;
+                file.write_all(&pack())?;
+                file.sync_all()?;
+                std::fs::rename(&aside, &path)
+            };
+            if let Err(e) = write() {
+                warn!(log, "snapshot not written"; "why" => %e);
+            }
+        }))
+    }
+
+    fn tell_shared(&mut self, told: Told) {
+        let log = &self.log;
+        match told {
+            Told::Ready { caught_up, took } => {
+                info!(log, "ready"; "caught_up" => caught_up, "took_us" => took);
+                (self.clients.ready, self.clients.caught_up) = (!self.ending, Some(caught_up));
+            }
+            Told::CaughtUp { records, took } => {
+                info!(log, "caught up"; "records" => records, "took_us" => took);
+                let replica = self.fronts.as_ref().and_then(|fronts| fronts.replica.as_ref());
+                let all = replica.map(|replica| replica.learned()).unwrap_or_default();
+                all.iter().for_each(|what| self.learned(what));
+            }
+            Told::Donor { former, next } => {
+                warn!(log, "nothing from a donor"; "who" => former, "next" => next)
+            }
+            Told::Vouches { took } => info!(log, "vouches for effects"; "took_us" => took),
+            Told::Doubts => warn!(log, "was away: vouches for no effect until it has compared"),
+        }
+    }
+
+    /// Others have learned something of an object or a machine.
+    fn learned(&mut self, what: &[u8]) {
+        let replica = self.fronts.as_ref().and_then(|fronts| fronts.replica.as_ref());
+        let Some(opinion) = replica.and_then(|replica| replica.opinion(what)) else { return };
+        match (thing(what), opinion.numbers.as_slice()) {
+            (Some(Thing::Object(object)), [highest, ..]) => {
+                self.events.push(Event::Recalled { object, highest: *highest as u32 });
+            }
+            (Some(Thing::Machine(id)), [failing, first_byte, ..]) => {
+                if let Some(peer) = self.machines.known(&id) {
+                    let first_byte = (*first_byte >= 0.0).then_some(*first_byte as Micros);
+                    self.events.push(Event::Thought { peer, failing: *failing, first_byte });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A machine has come so far, as another front was told: it counts as told here as well.
+    fn hearsay(&mut self, id: &str, start: Micros, phase: u8, machine: &kinds::Machine) {
+        let standing = standing(phase);
+        let member = Member {
+            id: id.to_string(),
+            address: machine.address.parse().ok(),
+            locality: machine.locality.clone(),
+            flavor: machine.flavor.clone(),
+            cell: machine.cell as u16,
+            standing,
+            size: machine.size,
+            up_since: start,
+        };
+        if member.address.is_none() && standing != Standing::Gone {
+            return;
+        }
+        let entry = self.entry(member);
+        self.events.push(Event::Listed(Listing::Delta(vec![entry])));
+    }
+
+    /// What the journal service says of a machine, beside what others have heard: the later stands.
+    pub(super) fn share_machine(&mut self, mut member: Member, now: Micros) -> Member {
+        let Some(fronts) = &mut self.fronts else { return member };
+        let machine = kinds::Machine {
+            address: member.address.map_or(String::new(), |at| at.to_string()),
+            locality: member.locality.clone(),
+            flavor: member.flavor.clone(),
+            cell: u32::from(member.cell),
+            size: member.size,
+        };
+        let phase = match member.standing {
+            Standing::Ready => 0,
+            Standing::Draining => 1,
+            Standing::Gone => 2,
+        };
+        fronts.share(|replica, _| {
+            replica.put_machine(now, &member.id, member.up_since, phase, &machine);
+            if let Some((start, phase)) = replica.standing(&member.id).filter(|(s, _)| *s == member.up_since)
+            {
+                (member.up_since, member.standing) = (start, standing(phase));
+            }
+        });
+        member
+    }
+
+    /// A lookup was let in: which part of what, and by whom.
+    pub(super) fn saw_asked(&mut self, lookup: u32, now: Micros) {
+        let (Some(taken), Some(fronts)) = (self.lookups.get(&lookup), &mut self.fronts) else { return };
+        let request = &taken.request;
+        fronts.share(|replica, _| {
+            replica.saw_part(now, request.object, request.slice);
+            replica.used(request.tenant.as_deref().unwrap_or(""), request.size_kb);
+        });
+    }
+
+    // Effects.
+
+    /// Whether a lookup has to wait for a word of the ledger.
+    pub(super) fn claims(&mut self, lookup: u32, now: Micros) -> bool {
+        let Some(taken) = self.lookups.get_mut(&lookup) else { return false };
+        let class = &self.config.classes[taken.kind];
+        let Some(mark) = taken.request.unique.as_ref().filter(|_| class.effect) else { return false };
+        let key = [mark.as_bytes(), b" ", class.name.as_bytes()].concat();
+        let terms = Terms { expires: taken.expires, budget: class.door.budget, window: class.window };
+        let Some(fronts) = &mut self.fronts else { return false };
+        let token = u64::from(lookup);
+        let asked = fronts.share(|replica, acts| replica.ask(now, token, &key, terms, acts));
+        if asked != Some(true) {
+            return false;
+        }
+        taken.effect = Effect::Asking;
+        self.with_fronts(now, |fronts, poll| fronts.carry(now, poll));
+        true
+    }
+
+    fn word(&mut self, word: Word, now: Micros) {
+        let lookup = match &word {
+            Word::Go { token, .. }
+            | Word::Answer { token, .. }
+            | Word::Fail { token }
+            | Word::Refuse { token, .. } => *token as u32,
+        };
+        let Some(taken) = self.lookups.get_mut(&lookup).filter(|t| t.owed) else { return };
+        debug!(self.log, "ledger"; "lookup" => taken.request.txn.as_str(), "word" => ?word);
+        taken.effect = Effect::None;
+        match word {
+            Word::Go { until, again, .. } => {
+                taken.effect = Effect::Out { again };
+                taken.expires = taken.expires.min(until);
+                self.decide(lookup);
+            }
+            Word::Answer { current, body, .. } => {
+                let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
+                self.answer(lookup, (frame::SATISFIED, fields, &body), now);
+            }
+            Word::Fail { .. } => self.answer(lookup, (frame::FAILED, &[], &[]), now),
+            Word::Refuse { come_back, .. } => {
+                self.nack(lookup, come_back.min(self.config.longest_away), now);
+            }
+        }
+    }
+
+    /// A lookup that the ledger let go is answered, or its client has left.
+    pub(super) fn effect_over(&mut self, lookup: u32, ran: Option<(bool, Vec<u8>)>, now: Micros) {
+        let Some(taken) = self.lookups.get_mut(&lookup) else { return };
+        let effect = std::mem::replace(&mut taken.effect, Effect::None);
+        let token = u64::from(lookup);
+        let end = match (ran, taken.may_have_run()) {
+            (Some((current, body)), _) => End::Ran { current, body },
+            (None, true) => End::MayHaveRun,
+            (None, false) => End::NotRun,
+        };
+        let Some(fronts) = &mut self.fronts else { return };
+        match effect {
+            Effect::None => return,
+            Effect::Asking => drop(fronts.share(|replica, acts| replica.left(now, token, acts))),
+            Effect::Out { .. } => drop(fronts.share(|replica, acts| replica.end(now, token, end, acts))),
+        }
+        self.with_fronts(now, |fronts, poll| fronts.carry(now, poll));
+    }
+
+    /// A send to a machine has ended, for those who come after.
+    pub(super) fn saw_end(&mut self, outcome: &Outcome) {
+        let machine = self.machines.name(outcome.peer);
+        if let Some(fronts) = &mut self.fronts {
+            let failed = !matches!(outcome.ending, Ending::Satisfied | Ending::Miss | Ending::Cancelled);
+            fronts.share(|replica, _| replica.saw_end(machine, failed, None));
+        }
+    }
+
+    /// What others make of a machine that has just come into the list.
+    pub(super) fn recall_machine(&mut self, id: &str) {
+        if self.shares() {
+            self.learned(&sight_of_machine(id));
+        }
+    }
+}
+
+fn standing(phase: u8) -> Standing {
+    match phase {
+        0 => Standing::Ready,
+        1 => Standing::Draining,
+        _ => Standing::Gone,
+    }
+}
+
+impl Taken {
+    /// Whether anything of it was sent that may have run: what is still out may.
+    fn may_have_run(&self) -> bool {
+        self.ran || self.sends.iter().any(Option::is_some)
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -114,9 +114,18 @@
             cli::check(&file).map(|kind| println!("{}: good {kind}", file.display()))
         }
         Some(Command::Turns { socket }) => cli::operator(&socket, "turns").map(|text| print!("{text}")),
-        Some(Command::Fleet { socket, json }) => {
-            let word = if json { "fleet json" } else { "fleet" };
-            cli::operator(&socket, word).map(|text| print!("{text}"))
+        Some(Command::Fleet { socket, json, of }) => {
+            let ask = |word: &str| cli::operator(&socket, word);
+            let told = match of {
+                None => ask(if json { "fleet json" } else { "fleet" }),
+                Some(cli::Of::State) => ask(if json { "fleet state json" } else { "fleet state" }),
+                Some(cli::Of::Ledger { mark, class }) => ask(&format!("fleet ledger {mark} {class}")),
+                Some(cli::Of::Diff { other }) => ask("fleet entries").and_then(|here| {
+                    let there = cli::operator(&other, "fleet entries")?;
+                    Ok(cli::diff(&here, &there))
+                }),
+            };
+            told.map(|text| print!("{text}"))
         }
         Some(Command::Metrics { socket }) => cli::operator(&socket, "metrics").map(|text| print!("{text}")),
         Some(Command::Demo { seconds }) => demo::run(seconds),
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -151,6 +151,7 @@
 struct Says<'a> {
     number: u64,
     ready: bool,
+    ready_fields: &'a [(&'a str, &'a str)],
     who: &'a Who,
     lookups: &'a mut u32,
     spare: &'a mut Spare,
@@ -166,6 +167,8 @@
     lookups: u32,
     /// Whether the front says that it is ready.
     pub ready: bool,
+    /// Where state is shared: whether it was there when the front became ready.
+    pub caught_up: Option<bool>,
     parting: bool,
     /// Fields that tell who asks.
     pub who: Who,
@@ -186,6 +189,7 @@
             patience,
             lookups: 0,
             ready: true,
+            caught_up: None,
             parting: false,
             who: Who::default(),
             heard,
@@ -284,7 +288,13 @@
         let Some(client) = self.conns.get_mut(&number) else { return };
         client.link.heard(ready);
         let (lookups, spare, heard) = (&mut self.lookups, &mut self.spare, &mut self.heard);
-        let says = Says { number, ready: self.ready, who: &self.who, lookups, spare, heard };
+        let ready_fields: &[(&str, &str)] = match self.caught_up {
+            Some(true) => &[("caught_up", "1")],
+            Some(false) => &[("caught_up", "0")],
+            None => &[],
+        };
+        let ready = self.ready;
+        let says = Says { number, ready, ready_fields, who: &self.who, lookups, spare, heard };
         let done = Clients::read(client, says, now, poll);
         if matches!(done, Ok(true)) {
             self.more.insert(number);
@@ -295,7 +305,7 @@
     /// Takes one turn at what has come; true where there is more.
     fn read(
         client: &mut Client,
-        Says { number, ready, who, lookups, spare, heard }: Says<'_>,
+        Says { number, ready, ready_fields, who, lookups, spare, heard }: Says<'_>,
         now: Micros,
         poll: &mut Poll,
     ) -> io::Result<bool> {
@@ -340,8 +350,8 @@
                     None
                 }
                 frame::READY => {
-                    let code = u8::from(!ready);
-                    client.put(&frame::head(frame::IS_READY, stream, Some(code), Some(&[]), 0), &[])?;
+                    let (code, fields) = (u8::from(!ready), ready_fields);
+                    client.put(&frame::head(frame::IS_READY, stream, Some(code), Some(fields), 0), &[])?;
                     None
                 }
                 _ => Some(frame::Fault::Unreadable("type")),
--- a/crates/front/src/net/fronts.rs
+++ b/crates/front/src/net/fronts.rs
@@ -4,9 +4,14 @@
 use super::{Key, Poll};
 use calloop::Readiness;
 use meadowrill_core::interface::Micros;
+use meadowrill_members::claim::State;
+use meadowrill_members::envelope;
 use meadowrill_members::plan::Plan;
-use meadowrill_members::view::{Act, Change, Me, View};
+use meadowrill_members::view::{Act, Change, Me, Member, View};
 use meadowrill_members::wire::MOST;
+use meadowrill_replica::replica::{self, Peer, Replica};
+use meadowrill_replica::wire;
+use meadowrill_settings::Replica as Shared;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -22,14 +27,26 @@
     view: View,
     acts: Vec<Act>,
     changes: Vec<Change>,
+    /// What is shared beside who is there, where the settings tell of it, and what it wants done.
+    pub replica: Option<Replica>,
+    shared: Vec<replica::Act>,
     /// Datagrams that the kernel had no room for.
     pub unsent: u64,
+    /// No contact was told: there may be nobody to agree with.
+    alone: bool,
     /// There may be more to read.
     waits: bool,
 }
 
 impl Fronts {
-    pub fn listen(plan: &Plan, name: &str, now: Micros, seed: u64, poll: &Poll) -> io::Result<Fronts> {
+    pub fn listen(
+        plan: &Plan,
+        shared: Option<&Shared>,
+        name: &str,
+        now: Micros,
+        seed: u64,
+        poll: &Poll,
+    ) -> io::Result<Fronts> {
         let (socket, streams) = both(plan.listen, poll)?;
         let socket = Rc::new(socket);
         socket.set_nonblocking(true)?;
@@ -41,8 +58,24 @@
             plan.advertise = plan.listen;
         }
         let me = Me { name: name.into(), version: env!("CARGO_PKG_VERSION").into(), start: now as u64 };
+        let alone = plan.contacts.iter().all(|to| *to == plan.advertise);
         let view = View::new(plan, me, now, seed);
-        Ok(Fronts { socket, streams, view, acts: Vec::new(), changes: Vec::new(), unsent: 0, waits: false })
+        let replica = shared.map(|shared| Replica::new(shared.plan.clone(), name, now as u64, now, seed));
+        let (acts, changes) = (Vec::new(), Vec::new());
+        let mut fronts = Fronts {
+            socket,
+            streams,
+            view,
+            acts,
+            changes,
+            replica,
+            shared: Vec::new(),
+            unsent: 0,
+            alone,
+            waits: false,
+        };
+        fronts.tell_fleet(now);
+        Ok(fronts)
     }
 
     pub fn view(&self) -> &View {
@@ -54,7 +87,7 @@
     }
 
     pub fn next(&self) -> Micros {
-        self.view.next()
+        self.replica.iter().fold(self.view.next(), |next, replica| next.min(replica.next()))
     }
 
     pub fn read(&mut self, now: Micros, poll: &mut Poll) {
@@ -64,7 +97,15 @@
         self.waits = true;
         for _ in 0..READ {
             match self.socket.recv_from(&mut bytes) {
-                Ok((length, _)) => self.view.hear(now, &bytes[..length], &mut self.acts),
+                Ok((length, _)) => {
+                    heard(
+                        &mut self.view,
+                        &mut self.replica,
+                        now,
+                        &bytes[..length],
+                        (&mut self.acts, &mut self.shared),
+                    );
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.waits = false;
@@ -79,8 +120,10 @@
 
     /// Something of a stream is ready.
     pub fn stream(&mut self, number: u64, ready: Readiness, now: Micros, poll: &mut Poll) {
-        let (view, acts) = (&mut self.view, &mut self.acts);
-        let failed = self.streams.handle(number, ready, now, poll, |bytes| view.hear(now, bytes, acts));
+        let (view, replica) = (&mut self.view, &mut self.replica);
+        let (acts, shared) = (&mut self.acts, &mut self.shared);
+        let heard = |bytes: &[u8]| heard(view, replica, now, bytes, (acts, shared));
+        let failed = self.streams.handle(number, ready, now, poll, heard);
         failed.into_iter().for_each(|to| self.view.unstreamed(now, to));
         self.carry(now, poll);
     }
@@ -90,8 +133,22 @@
             self.view.tick(now, &mut self.acts);
             let failed = self.streams.tick(now, poll);
             failed.into_iter().for_each(|to| self.view.unstreamed(now, to));
-            self.carry(now, poll);
         }
+        if let Some(replica) = self.replica.as_mut().filter(|r| now >= r.next()) {
+            replica.tick(now, &mut self.shared);
+        }
+        self.carry(now, poll);
+    }
+
+    /// One step with what is shared, if anything is.
+    pub fn share<T>(&mut self, step: impl FnOnce(&mut Replica, &mut Vec<replica::Act>) -> T) -> Option<T> {
+        let shared = &mut self.shared;
+        self.replica.as_mut().map(|replica| step(replica, shared))
+    }
+
+    /// What is to be done about what is shared, but for what goes to other fronts.
+    pub fn take_acts(&mut self) -> Vec<replica::Act> {
+        std::mem::take(&mut self.shared)
     }
 
     pub fn leave(&mut self, now: Micros, poll: &mut Poll) {
@@ -108,10 +165,33 @@
         std::mem::take(&mut self.changes)
     }
 
-    fn carry(&mut self, now: Micros, poll: &mut Poll) {
+    /// The view has changed: who there is, as what is shared needs to know.
+    fn tell_fleet(&mut self, now: Micros) {
+        let Some(replica) = &mut self.replica else { return };
+        let peer = |(name, m): (&str, &Member)| Peer {
+            name: name.into(),
+            start: m.claim.start,
+            here: m.claim.state.here(),
+            left: m.claim.state == State::Left,
+            zone: m.body.zone.clone(),
+            round_trip: m.round_trip,
+        };
+        let alone = self.alone && self.view.members().next().is_none();
+        let peers = self.view.members().map(peer).collect();
+        replica.fleet(now, self.view.joined() || alone, peers, &mut self.shared);
+    }
+
+    pub fn carry(&mut self, now: Micros, poll: &mut Poll) {
+        let mut changed = false;
         for act in self.acts.drain(..) {
             match act {
-                Act::Tell(change) => self.changes.push(change),
+                Act::Tell(change) => {
+                    if let (Change::WasAway { .. }, Some(replica)) = (&change, &mut self.replica) {
+                        replica.was_away(now, &mut self.shared);
+                    }
+                    self.changes.push(change);
+                    changed = true;
+                }
                 Act::Stream { to, bytes } => {
                     if !self.streams.send(to, &bytes, now, poll) {
                         self.view.unstreamed(now, to);
@@ -124,6 +204,49 @@
                 }
             }
         }
+        if changed {
+            self.tell_fleet(now);
+        }
+        self.carry_shared(now, poll);
+    }
+
+    /// What is shared goes to fronts by their names; the view knows where they are.
+    fn carry_shared(&mut self, now: Micros, poll: &mut Poll) {
+        let mut rest = Vec::new();
+        for act in self.shared.drain(..) {
+            let (to, bytes, stream) = match act {
+                replica::Act::Send { to, bytes } => (to, bytes, false),
+                replica::Act::Stream { to, bytes } => (to, bytes, true),
+                other => {
+                    rest.push(other);
+                    continue;
+                }
+            };
+            let Some(address) = self.view.member(&to).and_then(Member::address) else { continue };
+            if stream {
+                // Where none comes up it is found missing by the next comparison.
+                self.streams.send(address, &bytes, now, poll);
+            } else if self.socket.send_to(&bytes, address).is_err() {
+                self.unsent += 1;
+            }
+        }
+        self.shared = rest;
+    }
+}
+
+/// By the first letters: what is about the view, and what is about what is shared.
+fn heard(
+    view: &mut View,
+    replica: &mut Option<Replica>,
+    now: Micros,
+    bytes: &[u8],
+    (acts, shared): (&mut Vec<Act>, &mut Vec<replica::Act>),
+) {
+    let about_shared = matches!(envelope::mark(bytes), Some(wire::MARK | wire::CHUNK_MARK));
+    match replica {
+        Some(replica) if about_shared => replica.hear(now, bytes, shared),
+        // Without one it is dropped there, and counted.
+        _ => view.hear(now, bytes, acts),
     }
 }
 
--- a/crates/front/src/net/operators.rs
+++ b/crates/front/src/net/operators.rs
@@ -12,7 +12,7 @@
 /// Operators at one time: whoever comes beyond is closed at once.
 const MOST: usize = 4;
 /// The longest word.
-const WORD: usize = 32;
+const WORD: usize = 256;
 
 struct Operator {
     stream: Rc<UnixStream>,
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -2,6 +2,7 @@
 //! are those of the settings, clients the loudest few of each.
 
 pub mod fleet;
+pub mod shared;
 
 use crate::net::fronts::Fronts;
 use meadowrill_turns::door::{Door, Report, Why};
--- a/crates/members/src/plan.rs
+++ b/crates/members/src/plan.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// The fleet's name, as it stands in every message.
+    pub fn number(&self) -> u64 {
+        crate::rings::hash(&self.fleet, 98)
+    }
+
     pub fn check(&self) -> Result<(), Faulty> {
         let wrong = |key, what: String| Err(Faulty { key, what });
         if self.fleet.is_empty() || self.fleet.len() > TEXT_MOST {
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -275,7 +275,7 @@
         rings.put(&me.name);
         let health = Health::new(plan.own_health);
         let mut view = View {
-            fleet: hash(&plan.fleet, 98),
+            fleet: plan.number(),
             budget: (plan.bytes_per_s * BURST) as f64,
             // Fronts that start together spread their periods.
             period_at: now,
--- a/crates/replica/src/kinds.rs
+++ b/crates/replica/src/kinds.rs
@@ -190,10 +190,17 @@
 /// Claims of a key stand side by side: by the key, then by holder and number.
 pub fn effect_prefix(key: &[u8]) -> Vec<u8> {
     // A length in front keeps a key from being the beginning of another.
-    [&[key.len().min(255) as u8][..], &key[..key.len().min(EFFECT_KEY)]].concat()
+    let mut name = vec![key.len().min(EFFECT_KEY) as u8];
+    if key.len() <= EFFECT_KEY {
+        name.extend(key);
+    } else {
+        // Clients' are 32 digits; of longer ones a hash stands for the rest.
+        name.extend(&key[..EFFECT_KEY - 16]);
+        name.extend(xxhash_rust::xxh3::xxh3_128(key).to_be_bytes());
+    }
+    name
 }
 
-/// Keys are cut here; clients' are 32 digits.
 pub const EFFECT_KEY: usize = 80;
 
 pub fn effect(key: &[u8], id: (u64, u64), ran: Ran, claim: &Claim, until: Micros) -> (Key, Entry) {
--- a/crates/replica/src/opinion.rs
+++ b/crates/replica/src/opinion.rs
@@ -20,11 +20,12 @@
     pub age: Micros,
 }
 
-/// Sights of one thing by all writers but this one.
-pub fn sights(map: &Map, kind: Kind, what: &[u8], but: &str) -> Vec<Sight> {
+/// Sights of one thing by all writers but this one; what its former life saw is as good as another's.
+pub fn sights(map: &Map, kind: Kind, what: &[u8], (me, start): (&str, u64)) -> Vec<Sight> {
     let prefix = kinds::sight_prefix(what);
-    let all = map.with_prefix(kind, &prefix).filter_map(|(key, entry)| kinds::read_sight(key, entry));
-    all.map(|(_, sight)| sight).filter(|sight| sight.writer != but).collect()
+    let all = map.with_prefix(kind, &prefix);
+    let sights = all.filter_map(|(key, entry)| Some((entry.rank.0, kinds::read_sight(key, entry)?.1)));
+    sights.filter(|(by, sight)| sight.writer != me || *by != start).map(|(_, sight)| sight).collect()
 }
 
 pub fn of(sights: &[Sight], zone: &str, now: Micros) -> Option<Opinion> {
--- a/crates/replica/src/plan.rs
+++ b/crates/replica/src/plan.rs
@@ -2,6 +2,8 @@
 
 use crate::{Micros, SEC};
 
+pub const SECOND: Micros = SEC;
+
 /// The key that is at fault, below `fleet.replica`, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Faulty {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -7,7 +7,9 @@
 use crate::kinds::{self, Kind, Ran, Tree, TREES};
 use crate::ledger::{self, Electors, End, Ground, Ledger, Out, Terms, Word};
 use crate::map::{hash, Key, Map, Room, Took};
+use crate::opinion;
 use crate::plan::Plan;
+use crate::snapshot;
 use crate::wire::{
     self, Ask, Buckets, CatchUp, Delta, Items, Packet, Part, Record, Records, Reply, Roots, Said, Want,
 };
@@ -34,6 +36,10 @@
 const OWED: usize = 8;
 /// Bytes a second that may go at once, in seconds of them.
 const BURST: f64 = 1.0;
+/// Weight of a new sample of a machine, objects told of in a period, and tenants.
+const SMOOTHING: f64 = 0.1;
+const SIGHTS: u32 = 200;
+const TENANTS: usize = 200;
 /// What others held when one died has had this many periods to reach the rest.
 const SETTLED: Micros = 6;
 
@@ -173,9 +179,33 @@
     now: Micros,
     rng: fastrand::Rng,
     spare: Vec<u8>,
+    /// What the journal service itself said of machines: start and phase.
+    said: BTreeMap<String, (Micros, u8)>,
+    machines: BTreeMap<String, Seen>,
+    /// What this front let in, by tenant.
+    usage: BTreeMap<String, Used>,
+    /// Of this period, how many more sights of objects may be told.
+    sights_left: u32,
     pub counts: Counts,
 }
 
+#[derive(Clone, Debug, Default)]
+struct Used {
+    lookups: f64,
+    kb: f64,
+    /// Since it was told to the others last.
+    changed: bool,
+}
+
+/// What this front sees of a machine.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    failing: f64,
+    first_byte: Option<f64>,
+    /// In this period.
+    sends: u64,
+}
+
 impl Replica {
     pub fn new(plan: Plan, me: &str, start: u64, now: Micros, seed: u64) -> Replica {
         let mut rng = fastrand::Rng::with_seed(seed ^ start);
@@ -210,6 +240,10 @@
             now,
             rng,
             spare: Vec::new(),
+            said: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            usage: BTreeMap::new(),
+            sights_left: SIGHTS,
             counts: Counts::default(),
             plan,
         }
@@ -276,6 +310,9 @@
         phase: u8,
         machine: &kinds::Machine,
     ) -> bool {
+        if self.said.len() < self.plan.entries || self.said.contains_key(id) {
+            self.said.insert(id.to_string(), (start, phase));
+        }
         // Rounded, so that fronts which hear of it at about the same time say the same.
         let until = (now / self.plan.machine_keep + 2) * self.plan.machine_keep;
         let (key, entry) = kinds::machine(id, start, phase, machine, until);
@@ -290,6 +327,113 @@
         self.put(now, key, entry)
     }
 
+    /// A lookup asked for this part; told to the others where it is the highest that this front saw of late.
+    pub fn saw_part(&mut self, now: Micros, object: u64, part: u32) {
+        let what = sight_of_object(object);
+        if self.sights_left == 0 || self.says(&what, now).is_some_and(|n| n[0] >= f64::from(part)) {
+            return;
+        }
+        self.sights_left -= 1;
+        self.put_sight(now, Kind::Learned, &what, vec![f64::from(part)]);
+    }
+
+    /// What this front itself says of a thing, while it is young.
+    fn says(&self, what: &[u8], now: Micros) -> Option<Vec<f64>> {
+        let sight = kinds::Sight { writer: self.me.clone(), ..kinds::Sight::default() };
+        let (key, _) = kinds::sight(Kind::Learned, what, self.start, &sight, 0);
+        let entry = self.map.get(&key).filter(|e| now < e.until - self.plan.learned_keep / 2)?;
+        kinds::read_sight(&key, entry).map(|(_, sight)| sight.numbers).filter(|n| !n.is_empty())
+    }
+
+    /// A send to a machine ended so.
+    pub fn saw_end(&mut self, machine: &str, failed: bool, first_byte: Option<Micros>) {
+        let seen = self.machines.entry(machine.to_string()).or_default();
+        seen.failing += SMOOTHING * (f64::from(u8::from(failed)) - seen.failing);
+        if let Some(time) = first_byte {
+            let time = time as f64;
+            seen.first_byte = Some(seen.first_byte.map_or(time, |f| f + SMOOTHING * (time - f)));
+        }
+        seen.sends += 1;
+    }
+
+    /// A tenant's lookup was let in.
+    pub fn used(&mut self, tenant: &str, size_kb: f64) {
+        if self.usage.len() >= TENANTS && !self.usage.contains_key(tenant) {
+            return;
+        }
+        let used = self.usage.entry(tenant.to_string()).or_default();
+        (used.lookups, used.kb, used.changed) = (used.lookups + 1.0, used.kb + size_kb, true);
+    }
+
+    /// Once a period: what this front has seen of machines and tenants goes to the others.
+    fn publish(&mut self) {
+        self.sights_left = SIGHTS;
+        let now = self.now;
+        let machines = std::mem::take(&mut self.machines);
+        for (id, seen) in &machines {
+            if seen.sends > 0 {
+                let what = sight_of_machine(id);
+                let numbers = vec![seen.failing, seen.first_byte.unwrap_or(-1.0), seen.sends as f64];
+                self.put_sight(now, Kind::Learned, &what, numbers);
+            }
+        }
+        self.machines = machines;
+        self.machines.retain(|_, seen| std::mem::replace(&mut seen.sends, 0) > 0);
+        let usage: Vec<(String, Vec<f64>)> = self
+            .usage
+            .iter_mut()
+            .filter_map(|(tenant, used)| {
+                let changed = std::mem::take(&mut used.changed);
+                changed.then(|| (tenant.clone(), vec![used.lookups, used.kb]))
+            })
+            .collect();
+        for (tenant, numbers) in usage {
+            self.put_sight(now, Kind::Usage, tenant.as_bytes(), numbers);
+        }
+    }
+
+    /// What the others make of a thing.
+    pub fn opinion(&self, what: &[u8]) -> Option<opinion::Opinion> {
+        let sights = opinion::sights(&self.map, Kind::Learned, what, (&self.me, self.start));
+        opinion::of(&sights, &self.plan.zone, self.now)
+    }
+
+    /// All things of which others have learned something.
+    pub fn learned(&self) -> BTreeSet<Vec<u8>> {
+        let all = self.map.of_kind(Kind::Learned);
+        all.filter_map(|(key, entry)| kinds::read_sight(key, entry).map(|(what, _)| what)).collect()
+    }
+
+    /// How far a machine has come by all that is known: its start and phase.
+    pub fn standing(&self, id: &str) -> Option<(Micros, u8)> {
+        let entry = self.map.get(&Key::new(Kind::Machine, id))?;
+        Some((entry.rank.0 as Micros, entry.rank.1.min(2) as u8))
+    }
+
+    /// The same by the journal service alone.
+    pub fn journal_said(&self, id: &str) -> Option<(Micros, u8)> {
+        self.said.get(id).copied()
+    }
+
+    /// Takes in what was kept across a start.
+    pub fn restore(&mut self, now: Micros, bytes: &[u8]) -> Result<(usize, Micros), snapshot::Refused> {
+        let oldest = self.plan.purge_keep.max(self.plan.learned_keep);
+        snapshot::read(bytes, &mut self.map, self.plan.fleet, oldest, now)
+    }
+
+    pub fn snapshot(&self, now: Micros) -> impl FnOnce() -> Vec<u8> + Send + 'static {
+        // To pack it takes a while: a copy is packed elsewhere.
+        let (map, fleet) = (self.map.clone(), self.plan.fleet);
+        move || snapshot::write(&map, fleet, now)
+    }
+
+    /// Purges and machines that are held, as acts: what a snapshot brought.
+    pub fn recall(&self, acts: &mut Vec<Act>) {
+        for (key, entry) in self.map.of_kind(Kind::Purge).chain(self.map.of_kind(Kind::Machine)) {
+            acts.extend(heard(key, entry));
+        }
+    }
+
     fn put(&mut self, now: Micros, key: Key, entry: crate::map::Entry) -> bool {
         self.now = self.now.max(now);
         let new = matches!(self.map.merge(key.clone(), entry, now), Took::New(_));
@@ -414,6 +558,7 @@
             self.map.sweep(now);
             self.elect();
             self.vouch(acts);
+            self.publish();
             self.compare(acts);
         }
     }
@@ -907,23 +1052,46 @@
         if news {
             self.tell_on(key.clone());
         }
-        match Kind::of(key.kind) {
-            Some(Kind::Purge) => {
-                if let Some((object, group, stamp)) = kinds::read_purge(&key, &entry) {
-                    acts.push(Act::Purged { object, group, stamp });
-                }
-            }
-            Some(Kind::Machine) => {
-                if let Some((id, start, phase, machine)) = kinds::read_machine(&key, &entry) {
-                    acts.push(Act::Machine { id, start, phase, machine });
-                }
-            }
-            Some(Kind::Learned) => {
-                if let Some((what, _)) = kinds::read_sight(&key, &entry) {
-                    acts.push(Act::Learned { what });
-                }
-            }
-            Some(Kind::Effect | Kind::Usage) | None => {}
+        acts.extend(heard(&key, &entry));
+    }
+}
+
+/// What the host is to do about a record that came from another.
+fn heard(key: &Key, entry: &crate::map::Entry) -> Option<Act> {
+    match Kind::of(key.kind)? {
+        Kind::Purge => {
+            kinds::read_purge(key, entry).map(|(object, group, stamp)| Act::Purged { object, group, stamp })
         }
+        Kind::Machine => kinds::read_machine(key, entry).map(|(id, start, phase, machine)| Act::Machine {
+            id,
+            start,
+            phase,
+            machine,
+        }),
+        Kind::Learned => kinds::read_sight(key, entry).map(|(what, _)| Act::Learned { what }),
+        Kind::Effect | Kind::Usage => None,
+    }
+}
+
+pub fn sight_of_object(object: u64) -> Vec<u8> {
+    [&b"l"[..], &object.to_be_bytes()].concat()
+}
+
+pub fn sight_of_machine(id: &str) -> Vec<u8> {
+    [b"m", id.as_bytes()].concat()
+}
+
+/// What a thing is that was learned of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Thing {
+    Object(u64),
+    Machine(String),
+}
+
+pub fn thing(what: &[u8]) -> Option<Thing> {
+    match what.split_first()? {
+        (b'l', object) => object.try_into().ok().map(|o| Thing::Object(u64::from_be_bytes(o))),
+        (b'm', id) => String::from_utf8(id.to_vec()).ok().map(Thing::Machine),
+        _ => None,
     }
 }
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -9,12 +9,17 @@
 //! - WHO is `all`, `3`, `1,4,7`, `2-5`, `zone1`, or `70%` (drawn by the seed; the same ones each time it stands).
 //! - FAULT is `cut`, `loss=0.1`, `burst=5`, `delay=20`, `jitter=10`, `doubled=0.1`, `short=0.1`, `flipped=0.1`,
 //!   `slow=2000` (bytes a second), `flap=500` (ms up, ms down); of streams, `reset` and `half_open`.
+//! - `shared TEXT` stands in `fleet { ... }` of each; `older` lets every second front be of an earlier build. `effects N over S` asks for
+//!   so many marks, each again at another front; `purge [all]` and `drain CACHE [all]` are told to the first front alone, or to all.
+//! - `expect same [urgent] within S` (all hold the same; purges, machines and effects only), `expect vouching within S`, `expect once [N]` (at most so many marks ran twice at the
+//!   origin), `expect purged` (no request let an older copy through half a second after a purge), `expect drained CACHE`.
 //! - `expect settled within S`, `expect dead WHO within S` (at all others that run), `expect known WHO within S` (the
 //!   latest start, alive, at all others), `expect nobody dead [but WHO]`, `expect swings N` (at most), `expect served
 //!   SHARE` (at least, of what clients asked), `expect streamed N` (bytes over streams, at least), `expect answers` (none late or twice), `expect running` (no crash),
 //!   `expect says WHO TEXT` (in its log).
 
 use crate::check::{self, Groups};
+use crate::effects::Effects;
 use crate::fleet::{Fleet, Plan};
 use crate::relay::Fault;
 use crate::serving::{Clients, Counts};
@@ -49,13 +54,21 @@
     /// Where the logs, the counts and the story of a failed run are left.
     pub keep: Option<PathBuf>,
     pub mutant: Option<String>,
+    /// A build of an earlier version, for scripts that say `older`.
+    pub older: Option<PathBuf>,
 }
 
 impl Tools {
     /// The program beside this tool.
     pub fn beside(holder: &Path) -> Tools {
         let folder = holder.parent().unwrap_or(Path::new("."));
-        Tools { program: folder.join("meadowrill"), holder: holder.into(), keep: None, mutant: None }
+        Tools {
+            program: folder.join("meadowrill"),
+            holder: holder.into(),
+            keep: None,
+            mutant: None,
+            older: None,
+        }
     }
 }
 
@@ -63,6 +76,9 @@
     fleet: Fleet,
     groups: Groups,
     clients: Option<Clients>,
+    effects: Option<Effects>,
+    /// The object that was purged last, and when.
+    purged: u64,
     since: Duration,
     counted: [u64; 6],
     /// Those to whom something was done since the mark.
@@ -95,6 +111,8 @@
             Some("remember") => plan.remember_s = value(1)?,
             Some("seed") => plan.seed = value(1)?,
             Some("clients") => clients = value(1)? as usize,
+            Some("shared") => plan.shared = words[1..].join(" "),
+            Some("older") => plan.older = tools.older.clone(),
             Some(_) => steps.push((number, line.to_string())),
         }
     }
@@ -108,6 +126,8 @@
         fleet,
         groups: vec![all],
         clients: None,
+        effects: None,
+        purged: 0,
         since: unix(),
         counted: [0; 6],
         touched: BTreeSet::new(),
@@ -203,6 +223,23 @@
                 self.touched.clear();
                 self.counted = self.clients.as_ref().map_or([0; 6], |c| counts(&c.counts));
             }
+            "effects" => {
+                let many: u64 = second.parse().map_err(|_| "no number".to_string())?;
+                let over: f64 = words.get(3).and_then(|w| w.parse().ok()).ok_or("effects N over S")?;
+                let doors: Vec<_> = (0..self.fleet.plan.fronts).map(|n| self.fleet.door(n)).collect();
+                let seed = self.fleet.plan.seed;
+                let effects = self.effects.get_or_insert_with(|| Effects::start(&doors, seed));
+                effects.ask(many, Duration::from_secs_f64(over));
+            }
+            // Objects that the clients ask for, one after the other.
+            "purge" => {
+                self.purged += 1;
+                self.fleet.purge(&format!("{:016x}", self.purged % 400), second == "all");
+            }
+            "drain" => {
+                let cache: usize = second.parse().map_err(|_| "no cache".to_string())?;
+                self.fleet.drain(cache, words.get(2) == Some(&"all"));
+            }
             "heal" => {
                 self.fleet.relays.heal();
                 self.groups = vec![(0..self.fleet.plan.fronts).collect()];
@@ -377,6 +414,41 @@
                 self.figures.push((text.to_string(), share));
                 (asked > 0 && share >= least).then_some(()).ok_or(all)
             }
+            "same" => self.within(text, words.last().copied().unwrap_or(""), |fleet| {
+                check::unequal(fleet, word(1) == "urgent")
+            }),
+            "vouching" => self.within(text, words.get(2).copied().unwrap_or(""), check::not_vouching),
+            "once" => {
+                let effects = self.effects.as_ref().ok_or("no effects")?;
+                if !effects.done(Duration::from_secs(40)) {
+                    return Err("not all that was due was asked".into());
+                }
+                let runs = self.fleet.origin.runs();
+                let twice = runs.values().filter(|n| **n > 1).count();
+                let most: usize = word(1).parse().unwrap_or(0);
+                let said = effects.counts.text();
+                let share = effects.counts.served.load(Relaxed) as f64
+                    / effects.counts.asked.load(Relaxed).max(1) as f64;
+                let _ = writeln!(self.story, "{:017.6} rig: {said}", unix().as_secs_f64());
+                self.figures.push(("marks that ran".into(), runs.len() as f64));
+                self.figures.push(("marks that ran twice".into(), twice as f64));
+                self.figures.push(("keyed lookups asked".into(), effects.counts.asked.load(Relaxed) as f64));
+                self.figures.push(("share served".into(), share));
+                let bad = effects.counts.twice.load(Relaxed) + effects.counts.late.load(Relaxed);
+                let good = twice <= most && bad == 0 && !runs.is_empty();
+                good.then_some(()).ok_or(format!("{twice} of {} ran twice; {said}", runs.len()))
+            }
+            "purged" => {
+                let old = self.fleet.old_let_through();
+                (old == 0).then_some(()).ok_or(format!("{old} requests let an older copy through"))
+            }
+            "drained" => {
+                let cache: usize = word(1).parse().map_err(|_| "no cache".to_string())?;
+                let before = self.fleet.answered(cache);
+                std::thread::sleep(Duration::from_secs(1));
+                let more = self.fleet.answered(cache) - before;
+                (more == 0).then_some(()).ok_or(format!("{more} sends to it within a second"))
+            }
             "streamed" => {
                 let least: u64 = word(1).parse().map_err(|_| "no number".to_string())?;
                 let seen: u64 = self.fleet.relays.counts().values().map(|count| count.streamed).sum();
--- a/crates/rig/src/serving.rs
+++ b/crates/rig/src/serving.rs
@@ -9,7 +9,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-const ANSWER: u8 = 66;
+pub const ANSWER: u8 = 66;
 const PATIENCE: Duration = Duration::from_secs(4);
 const CONNECT: Duration = Duration::from_millis(300);
 
@@ -112,7 +112,7 @@
 }
 
 /// Kind, stream and code of the next frame.
-fn answer(stream: &mut TcpStream) -> std::io::Result<(u8, u32, u8)> {
+pub fn answer(stream: &mut TcpStream) -> std::io::Result<(u8, u32, u8)> {
     let mut head = [0; 9];
     stream.read_exact(&mut head)?;
     let length = u32::from_le_bytes([head[0], head[1], head[2], head[3]]) as usize;
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,7 @@
 
 use ipnet::IpNet;
 use meadowrill_members::plan::{self as fleet, Plan as Fleet};
+use meadowrill_replica::plan as replica;
 use meadowrill_turns::plan::{ClientBy, Order, Plan, Tenant};
 use miette::Diagnostic;
 use prost_reflect::{DescriptorPool, DynamicMessage, Value};
@@ -32,6 +33,16 @@
     pub report_every: Option<f64>,
     pub turns: Plan,
     pub fleet: Option<Fleet>,
+    pub replica: Option<Replica>,
+}
+
+/// What is shared among the fronts, and where it is kept across starts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Replica {
+    pub plan: replica::Plan,
+    pub snapshot: Option<String>,
+    /// Seconds between two writings of it.
+    pub snapshot_every: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -145,11 +156,54 @@
     if let Some(node) = root.node("fleet") {
         let plan = others(&node, text)?;
         plan.check().map_err(|f: fleet::Faulty| fault(text, node.key(f.key), f.what))?;
+        if let Some(node) = node.node("replica") {
+            let mut shared = shared(&node);
+            let name = |key: &str| node.key(key);
+            shared.plan.check().map_err(|f: replica::Faulty| fault(text, name(f.key), f.what))?;
+            if shared.plan.ledger.is_some() && plan.remember < shared.plan.purge_keep.min(60 * fleet::SEC) {
+                let what = "is less than a minute, but a ledger is kept: a split could outlast it";
+                return Err(fault(text, "fleet.remember_s".into(), what.to_string()));
+            }
+            shared.plan.fleet = plan.number();
+            shared.plan.zone.clone_from(&plan.zone);
+            settings.replica = Some(shared);
+        }
         settings.fleet = Some(plan);
     }
     Ok(settings)
 }
 
+fn shared(node: &Node) -> Replica {
+    let mut plan = replica::Plan::default();
+    let ms = |key: &str, usual| node.count(key).map_or(usual, |n| n as i64 * 1000);
+    let s = |node: &Node, key: &str, usual| node.count(key).map_or(usual, |n| n as i64 * replica::SECOND);
+    plan.period = ms("period_ms", plan.period);
+    plan.ready_after = ms("ready_after_ms", plan.ready_after);
+    plan.bytes_per_s = node.count("bytes_per_s").map_or(plan.bytes_per_s, |n| n as u64);
+    plan.catch_up_bytes_per_s =
+        node.count("catch_up_bytes_per_s").map_or(plan.catch_up_bytes_per_s, |n| n as u64);
+    plan.entries = node.count("entries_most").unwrap_or(plan.entries);
+    plan.bytes = node.count("bytes_most").unwrap_or(plan.bytes);
+    plan.purge_keep = s(node, "purge_keep_s", plan.purge_keep);
+    plan.learned_keep = s(node, "learned_keep_s", plan.learned_keep);
+    plan.ledger = node.node("ledger").map(|node| {
+        let usual = replica::Ledger::default();
+        replica::Ledger {
+            copies: node.count("copies").unwrap_or(usual.copies),
+            write_part: node.number("write_part").unwrap_or(usual.write_part),
+            unwritten: match node.choice("unwritten") {
+                1 => replica::Unwritten::Serve,
+                _ => replica::Unwritten::Refuse,
+            },
+            keep: s(&node, "keep_s", usual.keep),
+            fronts_least: node.count("fronts_least").unwrap_or(usual.fronts_least),
+            body_most: node.count("body_bytes").unwrap_or(usual.body_most),
+        }
+    });
+    let snapshot = node.text("snapshot").filter(|path| !path.is_empty());
+    Replica { plan, snapshot, snapshot_every: node.count("snapshot_every_s").unwrap_or(60).max(1) as u64 }
+}
+
 fn others(fleet: &Node, text: &str) -> Result<Fleet, Faulty> {
     let address = |key: String, told: &str| -> Result<SocketAddr, Faulty> {
         told.parse().map_err(|_| fault(text, key, format!("{told:?} is no address with a port")))
