--- /dev/null
+++ b/crates/replica/tests/ledger.rs
@@ -0,0 +1,307 @@
+//! The ledger's own code with three fronts, all of them owners, explored whole to a depth: two clients ask for one mark at two
+//! fronts, letters come in any order or not at all, one front crashes and starts again knowing nothing, links are cut
+//! once. The mark runs once at the most. Broken ones are found.
+
+use meadowrill_replica::kinds::{self, Kind, Ran};
+use meadowrill_replica::ledger::{entry, Electors, End, Ground, Ledger, Letter, Out, Terms, Word};
+use meadowrill_replica::map::{Key, Map, Room};
+use meadowrill_replica::plan;
+use meadowrill_replica::wire::{Ask, Record, Reply};
+use meadowrill_replica::{Micros, SEC};
+use stateright::{Checker, Model, Property};
+use std::hash::{Hash, Hasher};
+
+const MANY: usize = 3;
+const KEY: &[u8] = b"order-1";
+const NOW: Micros = 1000 * SEC;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Broken {
+    Nothing,
+    /// An owner grants a claim though another is in the way.
+    GrantsAll,
+    /// One copy is enough.
+    OneCopy,
+    /// One that starts anew vouches before it has compared.
+    VouchesAtOnce,
+    /// What ran is written down as not run.
+    ForgetsOutcome,
+}
+
+#[derive(Clone, Debug)]
+struct Node {
+    ledger: Ledger,
+    map: Map,
+    vouches: bool,
+    runs: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Mail {
+    Ask(Ask),
+    Reply(Reply),
+}
+
+#[derive(Clone, Debug)]
+struct World {
+    nodes: Vec<Node>,
+    mail: Vec<(usize, usize, Mail)>,
+    /// Lookups that were let go: the front, and the token.
+    out: Vec<(usize, u64)>,
+    ran: u32,
+    crashes: u32,
+    starts: u32,
+    cut: bool,
+    cuts: u32,
+    asks: u32,
+}
+
+impl World {
+    fn text(&self) -> String {
+        // Drawn times of a clash do not matter here: nothing is due by itself.
+        format!("{self:?}")
+    }
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &World) -> bool {
+        self.text() == other.text()
+    }
+}
+
+impl Eq for World {}
+
+impl Hash for World {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.text().hash(state);
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Step {
+    Ask(usize),
+    Deliver(usize),
+    Lose(usize),
+    /// The send of one that was let go runs at the origin, and its answer comes back (or not).
+    Run(usize, bool),
+    Crash(usize),
+    Restart(usize),
+    /// All that run and reach each other hold the same.
+    Compare(usize),
+    Cut,
+    Heal,
+}
+
+struct Rules(Broken);
+
+fn plan(broken: Broken) -> plan::Ledger {
+    plan::Ledger { copies: if broken == Broken::OneCopy { 1 } else { 3 }, ..plan::Ledger::default() }
+}
+
+fn node(n: usize, start: u64, vouches: bool, broken: Broken) -> Node {
+    Node {
+        ledger: Ledger::new(plan(broken), &format!("front-{n}"), start, 7),
+        map: Map::new(Room { entries: 100, bytes: 1_000_000 }),
+        vouches,
+        runs: true,
+    }
+}
+
+/// The first two are cut off from the third.
+fn side(n: usize) -> bool {
+    n == 2
+}
+
+impl Rules {
+    fn step(
+        &self,
+        world: &mut World,
+        n: usize,
+        step: impl FnOnce(&mut Ledger, &mut Ground, &mut Out, Broken) -> Option<(usize, Reply)>,
+    ) {
+        let here = |m: usize| world.nodes[m].runs && (!world.cut || side(m) == side(n));
+        let all = (0..MANY).map(|m| (format!("front-{m}"), here(m))).collect();
+        let Node { ledger, map, vouches, .. } = &mut world.nodes[n];
+        let electors = Electors { all, vouches: *vouches };
+        let mut out = Out::default();
+        let reply = step(ledger, &mut Ground { now: NOW, map, electors: &electors }, &mut out, self.0);
+        if let Some((to, reply)) = reply {
+            world.mail.push((n, to, Mail::Reply(reply)));
+        }
+        for Letter { to, ask } in out.letters {
+            let to = to.strip_prefix("front-").and_then(|m| m.parse().ok()).expect("a front");
+            world.mail.push((n, to, Mail::Ask(ask)));
+        }
+        for word in out.words {
+            if let Word::Go { token, .. } = word {
+                world.out.push((n, token));
+            }
+        }
+    }
+
+    fn deliver(&self, world: &mut World, at: usize) -> Option<()> {
+        let (from, to, mail) = world.mail.remove(at);
+        if !world.nodes[to].runs || (world.cut && side(from) != side(to)) {
+            return None;
+        }
+        match mail {
+            Mail::Ask(ask) => self.step(world, to, |ledger, on, _, broken| {
+                let (mut verdict, mut claims) = ledger.judge(&ask, on);
+                if broken == Broken::GrantsAll && verdict as u32 == 1 {
+                    let record = ask.claim.clone()?;
+                    let key = Key { kind: record.kind, name: record.name.clone() };
+                    on.map.merge(key, entry(&record), on.now);
+                    (verdict, claims) = (meadowrill_replica::ledger::Verdict::Granted, Vec::new());
+                }
+                Some((from, Reply { number: ask.number, verdict: verdict as u32, claims }))
+            }),
+            Mail::Reply(reply) => self.step(world, to, |ledger, on, out, _| {
+                ledger.reply(&format!("front-{from}"), reply, on, out);
+                None
+            }),
+        }
+        Some(())
+    }
+}
+
+impl Model for Rules {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let nodes = (0..MANY).map(|n| node(n, 100, true, self.0)).collect();
+        let (mail, out) = (Vec::new(), Vec::new());
+        vec![World { nodes, mail, out, ran: 0, crashes: 0, starts: 0, cut: false, cuts: 0, asks: 0 }]
+    }
+
+    fn actions(&self, world: &World, steps: &mut Vec<Step>) {
+        if world.asks < 2 {
+            steps.extend((0..2).filter(|n| world.nodes[*n].runs).map(Step::Ask));
+        }
+        steps.extend((0..world.mail.len()).map(Step::Deliver));
+        if world.crashes + world.cuts == 0 {
+            // A letter that a crash or a cut loses is lost already.
+            steps.extend((0..world.mail.len().min(2)).map(Step::Lose));
+        }
+        steps.extend((0..world.out.len()).flat_map(|at| [Step::Run(at, true), Step::Run(at, false)]));
+        if world.crashes == 0 {
+            steps.extend((0..MANY).map(Step::Crash));
+        }
+        steps.extend((0..MANY).filter(|n| !world.nodes[*n].runs).map(Step::Restart));
+        steps.extend(
+            (0..MANY).filter(|n| world.nodes[*n].runs && !world.nodes[*n].vouches).map(Step::Compare),
+        );
+        if world.cut {
+            steps.push(Step::Heal);
+        } else if world.cuts == 0 {
+            steps.push(Step::Cut);
+        }
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut world = last.clone();
+        match step {
+            Step::Ask(n) => {
+                world.asks += 1;
+                let token = u64::from(world.asks);
+                self.step(&mut world, n, |ledger, on, out, _| {
+                    let terms = Terms { expires: NOW + 2 * SEC, budget: SEC, window: 0 };
+                    ledger.ask(token, KEY, terms, on, out);
+                    None
+                });
+            }
+            Step::Deliver(at) => self.deliver(&mut world, at)?,
+            Step::Lose(at) => drop(world.mail.remove(at)),
+            Step::Run(at, answered) => {
+                let (n, token) = world.out.remove(at);
+                world.ran += 1;
+                let end = match (answered, self.0) {
+                    (_, Broken::ForgetsOutcome) => End::NotRun,
+                    (true, _) => End::Ran { current: false, body: Vec::new() },
+                    (false, _) => End::MayHaveRun,
+                };
+                // One that crashed meanwhile says nothing; its send was on its way all the same.
+                if world.nodes[n].runs {
+                    self.step(&mut world, n, |ledger, on, out, _| {
+                        ledger.end(token, end, on, out);
+                        None
+                    });
+                }
+            }
+            Step::Crash(n) => {
+                world.crashes += 1;
+                world.nodes[n].runs = false;
+                world.mail.retain(|(_, to, _)| *to != n);
+            }
+            Step::Restart(n) => {
+                world.starts += 1;
+                world.nodes[n] = node(n, 200, self.0 == Broken::VouchesAtOnce, self.0);
+            }
+            Step::Compare(n) => {
+                // With all that may hold anything; those that are gone have been for so long that the rest hold it.
+                let others: Vec<usize> = (0..MANY).filter(|m| *m != n && world.nodes[*m].runs).collect();
+                if others.len() + 1 < MANY || (world.cut && others.iter().any(|m| side(*m) != side(n))) {
+                    return None;
+                }
+                for m in others {
+                    let records: Vec<Record> = world.nodes[m].map.from(kinds::Tree::Effects, None).collect();
+                    for record in records {
+                        let key = Key { kind: record.kind, name: record.name.clone() };
+                        world.nodes[n].map.merge(key, entry(&record), NOW);
+                    }
+                }
+                world.nodes[n].vouches = true;
+            }
+            Step::Cut => (world.cut, world.cuts) = (true, 1),
+            Step::Heal => world.cut = false,
+        }
+        Some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("runs once at the most", |_, world: &World| world.ran <= 1),
+            Property::sometimes("runs", |_, world: &World| world.ran == 1),
+        ]
+    }
+}
+
+fn explore(broken: Broken, depth: usize) -> (bool, usize) {
+    let checker = Rules(broken).checker().threads(4).target_max_depth(depth).spawn_bfs().join();
+    let found = checker.discovery("runs once at the most");
+    if let Some(path) = &found {
+        println!("{broken:?}: {:?}", path.clone().into_actions());
+    }
+    assert!(checker.discovery("runs").is_some(), "{broken:?}: nothing ever runs");
+    (found.is_some(), checker.unique_state_count())
+}
+
+#[test]
+fn a_mark_runs_once_whatever_crashes_or_is_cut() {
+    let (found, states) = explore(Broken::Nothing, 11);
+    println!("{states} states");
+    assert!(!found);
+    assert!(states > 5_000, "{states}");
+}
+
+#[test]
+fn broken_ledgers_are_found() {
+    for broken in [Broken::GrantsAll, Broken::OneCopy, Broken::VouchesAtOnce, Broken::ForgetsOutcome] {
+        assert!(explore(broken, 12).0, "{broken:?} not found");
+    }
+}
+
+#[test]
+fn the_states_of_a_claim_only_move_on() {
+    let mut map = Map::new(Room { entries: 10, bytes: 1_000_000 });
+    let claim = kinds::Claim { holder: "front-1".into(), ..kinds::Claim::default() };
+    let put = |map: &mut Map, ran: Ran| {
+        let (key, entry) = kinds::effect(KEY, (1, 1), ran, &claim, NOW + SEC);
+        map.merge(key, entry, NOW);
+        map.of_kind(Kind::Effect).next().and_then(|(_, e)| kinds::read_effect(e)).map(|(ran, _)| ran)
+    };
+    assert_eq!(put(&mut map, Ran::May), Some(Ran::May));
+    assert_eq!(put(&mut map, Ran::Asked), Some(Ran::May));
+    assert_eq!(put(&mut map, Ran::Done), Some(Ran::Done));
+    assert_eq!(put(&mut map, Ran::Not), Some(Ran::Done));
+}
