A fleet of two builds: only fronts that say so share state and decide on effects

Owners of a key were drawn among all members, so in a rolling upgrade two of three could be of a build that never answers. A member tells by a value of the view that it shares and keeps a ledger; that it does is held on to over its restarts, as leaving it out for a moment would let two majorities miss each other.

--- a/crates/front/src/net/fronts.rs
+++ b/crates/front/src/net/fronts.rs
@@ -8,7 +8,7 @@
 use meadowrill_members::envelope;
 use meadowrill_members::plan::Plan;
 use meadowrill_members::view::{Act, Change, Me, Member, View};
-use meadowrill_members::wire::MOST;
+use meadowrill_members::wire::{Value, MOST};
 use meadowrill_replica::replica::{self, Peer, Replica};
 use meadowrill_replica::wire;
 use meadowrill_settings::Replica as Shared;
@@ -21,6 +21,11 @@
 /// Ports from the kernel that are tried.
 const TRIES: u32 = 16;
 
+/// The value by which a member tells that it shares state, and decides on effects.
+const SHARED: u32 = 1;
+const SHARES: u8 = 1;
+const LEDGER: u8 = 2;
+
 pub struct Fronts {
     socket: Rc<UdpSocket>,
     pub streams: Streams,
@@ -74,6 +79,11 @@
             alone,
             waits: false,
         };
+        if let Some(replica) = &fronts.replica {
+            let ledger = if replica.ledger().is_some() { LEDGER } else { 0 };
+            // Short enough in any case.
+            fronts.view.put_value(now, Value { kind: SHARED, version: 1, bytes: vec![SHARES | ledger] });
+        }
         fronts.tell_fleet(now);
         Ok(fronts)
     }
@@ -175,6 +185,8 @@
             left: m.claim.state == State::Left,
             zone: m.body.zone.clone(),
             round_trip: m.round_trip,
+            shares: flags(m) & SHARES != 0,
+            ledger: flags(m) & LEDGER != 0,
         };
         let alone = self.alone && self.view.members().next().is_none();
         let peers = self.view.members().map(peer).collect();
@@ -234,6 +246,12 @@
     }
 }
 
+/// What one says of itself that it shares.
+fn flags(member: &Member) -> u8 {
+    let value = member.body.values.iter().find(|value| value.kind == SHARED);
+    value.and_then(|value| value.bytes.first().copied()).unwrap_or(0)
+}
+
 /// By the first letters: what is about the view, and what is about what is shared.
 fn heard(
     view: &mut View,
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -54,11 +54,17 @@
     pub zone: String,
     /// Microseconds; none where it is not known.
     pub round_trip: Option<f64>,
+    /// Whether it shares state, and decides on effects: an earlier build does not.
+    pub shares: bool,
+    pub ledger: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Known {
     peer: Peer,
+    /// It decides on effects, by its own word or another's. One that starts anew says nothing for a moment, and must not be
+    /// left out for that: what it and one other agreed on could be agreed on once more without them.
+    elector: bool,
     /// When it was there last.
     here_at: Micros,
     /// When what is held was compared with it last, for vouching.
@@ -512,9 +518,14 @@
         for peer in peers {
             let known = self.peers.entry(peer.name.clone()).or_insert_with(|| Known {
                 peer: peer.clone(),
+                elector: false,
                 here_at: now,
                 compared: None,
             });
+            known.elector |= peer.ledger;
+            if known.peer.start != peer.start {
+                known.compared = None;
+            }
             if peer.here || known.peer.here {
                 known.here_at = now;
             }
@@ -535,7 +546,7 @@
     fn elect(&mut self) {
         let settled = SETTLED * self.plan.period;
         let now = self.now;
-        let counts = |known: &&Known| !known.peer.left || now < known.here_at + settled;
+        let counts = |known: &&Known| known.elector && (!known.peer.left || now < known.here_at + settled);
         self.electors.all =
             self.peers.values().filter(counts).map(|k| (k.peer.name.clone(), k.peer.here)).collect();
         self.electors.all.insert(self.me.clone(), true);
@@ -573,7 +584,7 @@
 
     fn some(&mut self, many: usize) -> Vec<String> {
         let mut here: Vec<&String> =
-            self.peers.iter().filter(|(_, k)| k.peer.here).map(|(name, _)| name).collect();
+            self.peers.iter().filter(|(_, k)| k.peer.here && k.peer.shares).map(|(name, _)| name).collect();
         let many = many.min(here.len());
         for at in 0..many {
             let drawn = self.rng.usize(at..here.len());
@@ -707,7 +718,7 @@
             return;
         }
         let (now, settled) = (self.now, SETTLED * self.plan.period);
-        let needed = |known: &Known| known.peer.here || now < known.here_at + settled;
+        let needed = |known: &Known| known.elector && (known.peer.here || now < known.here_at + settled);
         let open: Vec<String> = self
             .peers
             .iter()
@@ -803,12 +814,22 @@
             comparing.wants = Some(wants.clone());
             comparing.all = items.all;
             // Whom the other counts besides: they may come back with what they held.
-            let (now, me) = (self.now, self.me.clone());
+            let (now, me, settled) = (self.now, self.me.clone(), SETTLED * self.plan.period);
             for name in items.electors.into_iter().filter(|name| *name != me) {
                 self.peers.entry(name.clone()).or_insert_with(|| {
                     let zone = String::new();
-                    let peer = Peer { name, start: 0, here: false, left: false, zone, round_trip: None };
-                    Known { peer, here_at: now - SETTLED * 600 * SEC, compared: None }
+                    let (shares, ledger) = (true, true);
+                    let peer = Peer {
+                        name,
+                        start: 0,
+                        here: false,
+                        left: false,
+                        zone,
+                        round_trip: None,
+                        shares,
+                        ledger,
+                    };
+                    Known { peer, elector: true, here_at: now - settled, compared: None }
                 });
             }
             if !items.all {
@@ -849,7 +870,8 @@
     // Catching up.
 
     fn nearest(&self, but: &BTreeSet<String>) -> Option<String> {
-        let here = self.peers.values().filter(|k| k.peer.here && !but.contains(&k.peer.name));
+        let here =
+            self.peers.values().filter(|k| k.peer.here && k.peer.shares && !but.contains(&k.peer.name));
         let near = |k: &&Known| {
             let trip = k.peer.round_trip.unwrap_or(1e9) as i64;
             (k.peer.zone != self.plan.zone, trip, k.peer.name.clone())
@@ -861,7 +883,7 @@
         let Some(mut catching) = self.catching.take() else { return };
         let (now, took) = (self.now, self.now - catching.begun);
         let done = |tree: Tree, c: &Catching| c.trees[tree as usize].1;
-        let alone = self.joined && self.peers.values().all(|k| !k.peer.here);
+        let alone = self.joined && self.peers.values().all(|k| !k.peer.here || !k.peer.shares);
         if alone {
             catching.trees.iter_mut().for_each(|(_, done)| *done = true);
         }
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use meadowrill_rig::script::{draw, play, shrink, Tools};
+use meadowrill_rig::shared::first_wrong;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
@@ -25,6 +26,9 @@
         /// For builds with the feature `mutants`: the fault to play with
         #[arg(long)]
         mutant: Option<String>,
+        /// A program built from an earlier version, for scripts that say `older`
+        #[arg(long)]
+        older: Option<PathBuf>,
     },
     /// Play broken builds, each with the script that has to fail with it; needs a build with the feature `mutants`
     Mutants {
@@ -32,6 +36,11 @@
         #[arg(default_value = "crates/rig/scripts/mutants.list")]
         list: PathBuf,
     },
+    /// Run the shared state in one process, by seeds: fails with the first thing that does not hold
+    Model {
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+    },
     /// Draw schedules by seeds and play them; one that fails is shrunk and kept
     Draw {
         #[arg(long, default_value_t = 1)]
@@ -69,6 +78,14 @@
     let mut missed = 0;
     for line in std::fs::read_to_string(list)?.lines().filter(|line| !line.starts_with('#')) {
         let (mutant, script) = line.split_once(' ').unwrap_or((line, ""));
+        if script == "model" {
+            let told = Command::new(here).arg("model").env("MEADOWRILL_MUTANT", mutant).output()?;
+            let said = String::from_utf8_lossy(&told.stdout).trim().to_string();
+            missed += u32::from(told.status.success());
+            let found = if told.status.success() { "NOT found" } else { "found" };
+            println!("{mutant}: {found} by {script}: {said}");
+            continue;
+        }
         let text = std::fs::read_to_string(list.with_file_name(format!("{script}.txt")))?;
         let tools = Tools { mutant: Some(mutant.into()), ..Tools::beside(here) };
         match play(&text, &tools) {
@@ -96,11 +113,11 @@
     let mut bad = 0;
     match Cli::parse().what {
         What::Hold { parent, command } => return hold(parent, &command),
-        What::Play { files, keep, mutant } => {
+        What::Play { files, keep, mutant, older } => {
             for file in files {
                 let stem = file.file_stem().unwrap_or_default().to_os_string();
-                let tools =
-                    Tools { keep: Some(keep.join(stem)), mutant: mutant.clone(), ..Tools::beside(&here) };
+                let (keep, mutant, older) = (Some(keep.join(stem)), mutant.clone(), older.clone());
+                let tools = Tools { keep, mutant, older, ..Tools::beside(&here) };
                 let played = std::fs::read_to_string(&file).map(|text| play(&text, &tools));
                 match played {
                     Ok(Ok(figures)) => {
@@ -125,6 +142,12 @@
                 println!("{}: {e}", list.display());
             }
         },
+        What::Model { seeds } => {
+            if let Some(wrong) = first_wrong(seeds) {
+                bad += 1;
+                println!("{wrong}");
+            }
+        }
         What::Draw { seed, runs, fronts, keep } => {
             for seed in seed..seed + runs {
                 let text = draw(seed, fronts);
--- a/crates/rig/src/shared.rs
+++ b/crates/rig/src/shared.rs
@@ -3,6 +3,7 @@
 //! view of the fleet is played by what each could reach lately.
 
 use crate::name;
+use meadowrill_replica::kinds::Kind;
 use meadowrill_replica::ledger::{End, Terms, Word};
 use meadowrill_replica::map::Map;
 use meadowrill_replica::plan::Plan;
@@ -304,6 +305,8 @@
             left: false,
             zone: format!("zone-{}", m % 2),
             round_trip: Some(1000.0),
+            shares: true,
+            ledger: self.plan.ledger.is_some(),
         };
         let peers: Vec<Peer> = self.nodes[n].reached.iter().map(peer).collect();
         let joined = !peers.is_empty() || self.many() == 1;
@@ -398,6 +401,34 @@
     }
 }
 
+/// What the state says has to hold in one process, for broken builds: the first thing that does not.
+pub fn first_wrong(seeds: u64) -> Option<String> {
+    let plan = Plan { ledger: Some(meadowrill_replica::plan::Ledger::default()), ..Plan::default() };
+    for seed in 0..seeds {
+        let mut shared = Shared::new(12, Plan::default(), seed);
+        shared.start_all();
+        shared.run(5 * SEC);
+        let stamp = shared.now;
+        shared.say(3, |replica, now| replica.put_purge(now, Some(seed), 0, stamp));
+        // The same object again, from another that has not heard yet: the latest stands at all.
+        shared.say(7, |replica, now| replica.put_purge(now, Some(seed), 0, stamp - 5 * SEC));
+        shared.run(SEC / 2);
+        let latest = |m: &Map| m.of_kind(Kind::Purge).all(|(_, e)| e.rank.0 == stamp as u64);
+        if !shared.maps().all(|map| map.of_kind(Kind::Purge).count() == 1 && latest(map)) {
+            return Some(format!("seed {seed}: a purge is not known to all after half a second"));
+        }
+        let faults = Faults { many: 8, seconds: 30, keys_per_s: 50, kills: true, splits: true, pauses: true };
+        let mut run = effects(faults, plan.clone(), seed);
+        if run.seen.ran_twice() > 0 {
+            return Some(format!("seed {seed}: {} marks ran twice", run.seen.ran_twice()));
+        }
+        if run.run_until(run.now + 5 * SEC, Shared::equal).is_none() {
+            return Some(format!("seed {seed}: not equal 5 s after the last lookup"));
+        }
+    }
+    None
+}
+
 /// What a run of random faults is made of.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
