--- a/crates/front/src/front/shared.rs
+++ b/crates/front/src/front/shared.rs
@@ -24,6 +24,8 @@
     /// What is shared wants this done.
     pub(super) fn do_shared(&mut self, now: Micros) {
         let Some(fronts) = &mut self.fronts else { return };
+        let lags = fronts.share(|replica, _| std::mem::take(&mut replica.counts.lags)).unwrap_or_default();
+        lags.into_iter().for_each(|(kind, lag)| self.metrics.lagged(kind.name(), lag as f64 / 1e6));
         for act in fronts.take_acts() {
             match act {
                 Act::Word(word) => self.word(word, now),
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -24,13 +24,16 @@
 
 pub struct Metrics {
     waits: Family<Labels, Histogram>,
+    lags: Family<Labels, Histogram>,
 }
 
 impl Default for Metrics {
     fn default() -> Metrics {
         // From half a millisecond to two seconds.
         let histogram: fn() -> Histogram = || Histogram::new(exponential_buckets(0.0005, 2.0, 13));
-        Metrics { waits: Family::new_with_constructor(histogram) }
+        // From a millisecond to a minute and more.
+        let lags: fn() -> Histogram = || Histogram::new(exponential_buckets(0.001, 2.0, 17));
+        Metrics { waits: Family::new_with_constructor(histogram), lags: Family::new_with_constructor(lags) }
     }
 }
 
@@ -39,6 +42,11 @@
         self.waits.get_or_create(&vec![("tenant".into(), tenant.into())]).observe(seconds);
     }
 
+    /// How old something was that another front told of.
+    pub fn lagged(&self, kind: &str, seconds: f64) {
+        self.lags.get_or_create(&vec![("kind".into(), kind.into())]).observe(seconds);
+    }
+
     /// In the text format that scrapers read.
     pub fn text(&self, door: &Door, fronts: Option<&Fronts>) -> String {
         let mut registry = Registry::with_prefix("meadowrill_door");
@@ -48,13 +56,23 @@
             self.waits.clone(),
         );
         registry.register_collector(Box::new(Seen(door.report())));
-        let mut text = String::new();
-        let mut done = encode(&mut text, &registry);
+        let mut registries = vec![registry];
         if let Some(fronts) = fronts {
             let mut registry = Registry::with_prefix("meadowrill_fleet");
             registry.register_collector(Box::new(fleet::Seen::new(fronts)));
+            registries.push(registry);
+        }
+        if let Some(replica) = fronts.and_then(|fronts| fronts.replica.as_ref()) {
+            let mut registry = Registry::with_prefix("meadowrill_shared");
+            let help = "How old purges and sights were when another front's word of them came";
+            registry.register("lag_seconds", help, self.lags.clone());
+            registry.register_collector(Box::new(shared::seen(replica)));
+            registries.push(registry);
+        }
+        let (mut text, mut done) = (String::new(), Ok(()));
+        for registry in registries {
             // Only the last says that it ends.
-            text.truncate(text.len() - text.strip_suffix("# EOF\n").map_or(0, |_| "# EOF\n".len()));
+            text.truncate(text.strip_suffix("# EOF\n").map_or(text.len(), str::len));
             done = done.and_then(|()| encode(&mut text, &registry));
         }
         match done {
--- a/crates/front/src/report/fleet.rs
+++ b/crates/front/src/report/fleet.rs
@@ -107,15 +107,15 @@
     format!("{all}\n")
 }
 
-type Labels = Vec<(String, String)>;
+pub type Labels = Vec<(String, String)>;
 /// Name, help, and the values by their labels.
-type Named<T> = (&'static str, &'static str, Vec<(Labels, T)>);
+pub type Named<T> = (&'static str, &'static str, Vec<(Labels, T)>);
 
-/// Counts of the view, read when somebody asks.
+/// Counts of the view, or of what is shared, read when somebody asks.
 #[derive(Debug)]
 pub struct Seen {
-    counters: Vec<Named<u64>>,
-    gauges: Vec<Named<f64>>,
+    pub counters: Vec<Named<u64>>,
+    pub gauges: Vec<Named<f64>>,
 }
 
 impl Seen {
--- a/crates/front/src/report/shared.rs
+++ b/crates/front/src/report/shared.rs
@@ -1,11 +1,13 @@
 //! What operators are told of what the fronts share: by kind, entry by entry, one key's story, and metrics.
 
+use super::fleet::{Labels, Seen};
 use meadowrill_core::interface::Micros;
 use meadowrill_replica::kinds::{self, Kind, Tree};
 use meadowrill_replica::ledger::{stand, Ledger, Stand};
-use meadowrill_replica::map::hash;
+use meadowrill_replica::map::{hash, Held};
 use meadowrill_replica::replica::Replica;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 fn kind(number: u32) -> String {
@@ -35,7 +37,7 @@
     for (number, held) in map.held().iter().filter(|(_, held)| held.entries > 0) {
         let until = map.iter().filter(|(key, _)| key.kind == *number).map(|(_, e)| e.until).min();
         let left = until.map_or(0, |until| (until - now) / 1_000_000);
-        let count = |of: &std::collections::BTreeMap<u32, u64>| of.get(number).copied().unwrap_or(0);
+        let count = |of: &BTreeMap<u32, u64>| of.get(number).copied().unwrap_or(0);
         let (news, repaired) = (count(&counts.news), count(&counts.repaired));
         let _ = writeln!(
             text,
@@ -122,3 +124,63 @@
     let _ = writeln!(text, "now: {says}");
     text
 }
+
+/// Counts of what is shared.
+pub fn seen(replica: &Replica) -> Seen {
+    let (map, counts) = (replica.map(), &replica.counts);
+    let one = |n: u64| vec![(Vec::new(), n)];
+    let label = |key: &str, value: &str| -> Labels { vec![(key.to_string(), value.to_string())] };
+    let by_kind = |of: &BTreeMap<u32, u64>| of.iter().map(|(k, n)| (label("kind", &kind(*k)), *n)).collect();
+    let spent = counts.spent.iter().map(|(what, n)| (label("for", what), *n)).collect();
+    let dropped = counts.dropped.iter().map(|(why, n)| (label("why", why.name()), *n)).collect();
+    let differed = vec![(label("stands", "others"), counts.won), (label("stands", "own"), counts.lost)];
+    let ledger = replica.ledger().map(|ledger| ledger.counts.clone()).unwrap_or_default();
+    let words = [
+        ("asked", ledger.asked),
+        ("granted", ledger.granted),
+        ("unwritten", ledger.unwritten),
+        ("waited", ledger.waited),
+        ("answered", ledger.answered),
+        ("failed", ledger.failed),
+        ("refused", ledger.refused),
+        ("taken_over", ledger.taken_over),
+        ("clashes", ledger.clashes),
+    ];
+    let held = |of: fn(&Held) -> usize| -> Vec<(Labels, f64)> {
+        map.held().iter().map(|(k, held)| (label("kind", &kind(*k)), of(held) as f64)).collect()
+    };
+    let flag = |flag: bool| vec![(Vec::new(), f64::from(u8::from(flag)))];
+    Seen {
+        counters: vec![
+            ("news", "Records taken in as news", by_kind(&counts.news)),
+            ("repairs", "Records found missing by a comparison, or handed over", by_kind(&counts.repaired)),
+            ("differed", "Records that differed from one that was held, by whose stands", differed),
+            ("messages_sent", "Messages sent", one(counts.sent)),
+            ("bytes_sent", "Bytes sent, by what they were sent for", spent),
+            ("bytes_heard", "Bytes heard", one(counts.heard_bytes)),
+            ("held_back", "Comparisons that waited for bytes a second", one(counts.held_back)),
+            ("dropped", "Messages dropped", dropped),
+            ("displaced", "Records for which there was no room, or that made room", one(map.displaced)),
+            (
+                "ledger",
+                "Keyed lookups, by what became of them at the ledger",
+                words.map(|(word, n)| (label("word", word), n)).to_vec(),
+            ),
+        ],
+        gauges: vec![
+            ("records", "Records held", held(|held| held.entries)),
+            ("record_bytes", "Bytes of names and values held", held(|held| held.bytes)),
+            (
+                "caught_up",
+                "1 once this front holds all that others held at its start",
+                flag(replica.caught_up()),
+            ),
+            ("vouches", "1 while this front decides on effects", flag(replica.vouches())),
+            (
+                "news_waiting",
+                "Records still to be told on",
+                vec![(Vec::new(), replica.waiting_news() as f64)],
+            ),
+        ],
+    }
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod guard;
 mod path;
+mod replica;
 mod turns;
 
 use clap::{Parser, Subcommand};
@@ -28,6 +29,12 @@
     },
     /// What a hit costs
     Path,
+    /// What the fronts share: in one process and with processes of the program
+    Replica {
+        /// Random schedules in one process
+        #[arg(long, default_value_t = 1000)]
+        schedules: u64,
+    },
     /// Fair turns at the door
     Turns,
     /// Fails when a count of the ordinary path has risen by more than ten percent
@@ -59,6 +66,7 @@
                 fleet::processes(&mut figures, fronts);
             }
         }
+        Area::Replica { schedules } => replica::measure(&mut figures, schedules),
         Area::Path => path::measure(&mut figures),
         Area::Turns => turns::measure(&mut figures),
         Area::Guard { file, accept } => match guard::guard(&file, accept) {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -39,6 +39,8 @@
 /// Weight of a new sample of a machine, objects told of in a period, and tenants.
 const SMOOTHING: f64 = 0.1;
 const SIGHTS: u32 = 200;
+/// Of how many the lag is told between two looks.
+const LAGS: usize = 256;
 const TENANTS: usize = 200;
 /// What others held when one died has had this many periods to reach the rest.
 const SETTLED: Micros = 6;
@@ -158,6 +160,8 @@
     pub lost: u64,
     pub won: u64,
     pub held_back: u64,
+    /// How old what came from others was, by kind, since somebody took these.
+    pub lags: Vec<(Kind, Micros)>,
 }
 
 pub struct Replica {
@@ -1074,10 +1078,25 @@
         if news {
             self.tell_on(key.clone());
         }
+        // What a catch-up brings is old without anything being late.
+        if self.catching.is_none() && self.counts.lags.len() < LAGS {
+            let lag = made_at(&key, &entry).map(|(kind, at)| (kind, (self.now - at).max(0)));
+            self.counts.lags.extend(lag);
+        }
         acts.extend(heard(&key, &entry));
     }
 }
 
+/// When a record was made, where it tells.
+fn made_at(key: &Key, entry: &crate::map::Entry) -> Option<(Kind, Micros)> {
+    let kind = Kind::of(key.kind)?;
+    match kind {
+        Kind::Purge => Some((kind, entry.rank.0 as Micros)),
+        Kind::Learned | Kind::Usage => Some((kind, entry.rank.1 as Micros)),
+        Kind::Machine | Kind::Effect => None,
+    }
+}
+
 /// What the host is to do about a record that came from another.
 fn heard(key: &Key, entry: &crate::map::Entry) -> Option<Act> {
     match Kind::of(key.kind)? {
