--- a/crates/front/src/front/list.rs
+++ b/crates/front/src/front/list.rs
@@ -24,7 +24,12 @@
     pub(super) fn follow(&mut self, now: Micros, step: impl FnOnce(&mut Journal, &mut Poll, &mut Vec<News>)) {
         let mut news = Vec::new();
         step(&mut self.journal, &mut self.poll, &mut news);
+        if news.is_empty() {
+            return;
+        }
         news.into_iter().for_each(|news| self.told(news, now));
+        // What is new to the other fronts goes to them at once.
+        self.with_fronts(now, |_, _| {});
     }
 
     pub(super) fn told(&mut self, news: News, now: Micros) {
--- a/crates/members/src/envelope.rs
+++ b/crates/members/src/envelope.rs
@@ -8,8 +8,9 @@
 /// A chunk, as it travels and unpacked: more is dropped unread.
 pub const CHUNK_MOST: usize = 64 * 1024;
 const UNPACKED_MOST: usize = 256 * 1024;
-/// Of the compressor: small before fast, but not at any price.
-const LEVEL: u8 = 6;
+/// Of the compressor: small where bytes are few, fast where others wait for the loop meanwhile.
+pub const SMALL: u8 = 6;
+pub const FAST: u8 = 1;
 
 /// Why a datagram was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -66,9 +67,9 @@
     seal(into);
 }
 
-pub fn write_packed(mark: [u8; 2], version: u8, message: &impl Message, into: &mut Vec<u8>) {
+pub fn write_packed(mark: [u8; 2], version: u8, level: u8, message: &impl Message, into: &mut Vec<u8>) {
     head(mark, version, into);
-    into.extend(miniz_oxide::deflate::compress_to_vec(&message.encode_to_vec(), LEVEL));
+    into.extend(miniz_oxide::deflate::compress_to_vec(&message.encode_to_vec(), level));
     seal(into);
 }
 
--- a/crates/members/src/wire.rs
+++ b/crates/members/src/wire.rs
@@ -224,7 +224,7 @@
 
 /// The same for a stream.
 pub fn write_chunk(packet: &Packet, into: &mut Vec<u8>) {
-    envelope::write_packed(CHUNK_MARK, VERSION, packet, into);
+    envelope::write_packed(CHUNK_MARK, VERSION, envelope::SMALL, packet, into);
 }
 
 /// What writing it takes, head and all.
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -28,6 +28,8 @@
 /// Of one message: what goes into a datagram, and into a chunk before it is packed.
 const ROOM: usize = wire::MOST - 160;
 const CHUNK: usize = 12 * 1024;
+/// Of what is handed to one that catches up: lookups wait while it is packed.
+const PART: usize = 6 * 1024;
 /// Hashes in one comparison.
 const HASHES: usize = 1500;
 /// An exchange that brought nothing for so long is begun anew, at another front where there is one.
@@ -947,7 +949,7 @@
             let after = (!ask.first).then_some(Key { kind: ask.kind, name: ask.name });
             let (mut records, mut size, mut last) = (Vec::new(), 0, true);
             for record in self.map.from(tree, after.as_ref()) {
-                if size > CHUNK {
+                if size > PART {
                     last = false;
                     break;
                 }
--- a/crates/replica/src/snapshot.rs
+++ b/crates/replica/src/snapshot.rs
@@ -65,6 +65,7 @@
         envelope::write_packed(
             MARK,
             VERSION,
+            envelope::SMALL,
             &Part { fleet, at, number, of, records: records.to_vec() },
             &mut bytes,
         );
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -193,7 +193,7 @@
 }
 
 pub fn write_chunk(packet: &Packet, into: &mut Vec<u8>) {
-    envelope::write_packed(CHUNK_MARK, VERSION, packet, into);
+    envelope::write_packed(CHUNK_MARK, VERSION, envelope::FAST, packet, into);
 }
 
 pub fn read(bytes: &[u8], fleet: u64) -> Result<Packet, Dropped> {
