Ledger: one owner's word that it ran is enough, a wait does not use up the time to write

A lookup that had waited for another's outcome found its own time for writing gone and was refused; one that asked while an owner knew the outcome went on asking the others; a claim of a process whose name has a later start was waited for to its end.

--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -93,8 +93,8 @@
 /// Who there is, as the ledger needs to know.
 #[derive(Clone, Debug, Default)]
 pub struct Electors {
-    /// By name; true for those that are there.
-    pub all: BTreeMap<String, bool>,
+    /// By name; for those that are there the start of their process.
+    pub all: BTreeMap<String, Option<u64>>,
     /// This front knows enough to vouch.
     pub vouches: bool,
 }
@@ -109,8 +109,9 @@
         drawn.into_iter().take(copies).map(|(_, name)| name.clone()).collect()
     }
 
-    fn here(&self, name: &str) -> bool {
-        self.all.get(name).copied().unwrap_or(false)
+    /// The process that holds a claim is there; a later one of its name knows nothing of it.
+    fn here(&self, claim: &Claim) -> bool {
+        self.all.get(&claim.holder).copied().flatten().is_some_and(|start| start <= claim.start)
     }
 }
 
@@ -146,7 +147,7 @@
     let mut stand = Stand::Free;
     for (_, ran, claim) in claims(map, prefix, but) {
         let first = claim.first as Micros;
-        let over = !electors.here(&claim.holder) || now > claim.ends as Micros + GRACE;
+        let over = !electors.here(&claim) || now > claim.ends as Micros + GRACE;
         let next = match ran {
             Ran::Not => continue,
             Ran::Done => return Stand::Done { current: claim.current, body: claim.body },
@@ -188,7 +189,8 @@
     claim: Claim,
     owners: Vec<String>,
     terms: Terms,
-    /// When its claim or its wait must be decided: a part of its budget from when it came.
+    /// How long its claim may take to be written, and until when that is: from when it came, or another's was waited for.
+    write: Micros,
     write_until: Micros,
     phase: Phase,
     /// Takes over from a claim whose holder is gone.
@@ -292,7 +294,8 @@
             claim: Claim::default(),
             owners: Vec::new(),
             terms,
-            write_until: (on.now + write).min(terms.expires - LAST),
+            write,
+            write_until: 0,
             phase: Phase::Waiting,
             over: None,
         };
@@ -352,6 +355,9 @@
     fn claim(&mut self, token: u64, over: Option<Micros>, on: &mut Ground, out: &mut Out) {
         let (keep, copies) = (self.plan.keep, self.plan.copies);
         let Some(asked) = self.asked.get_mut(&token) else { return };
+        if matches!(asked.phase, Phase::Waiting) {
+            asked.write_until = (on.now + asked.write).min(asked.terms.expires - LAST);
+        }
         if on.now >= asked.write_until {
             return self.unwritten(token, on, out);
         }
@@ -436,6 +442,12 @@
             return self.go(token, on, out);
         }
         let held = many(Verdict::Held);
+        let known = stand(on.map, &asked.prefix, asked.key.as_ref(), on.electors, on.now);
+        if matches!(known, Stand::Done { .. }) {
+            // One owner's word is enough to know that it ran.
+            self.release(token, on, out);
+            return self.look(token, on, out);
+        }
         if held > asked.owners.len() - needed {
             // Another is in the way at so many that this one can't have it.
             self.release(token, on, out);
@@ -566,7 +578,7 @@
         };
         let mut in_way = Vec::new();
         for (other, ran, claim) in claims(on.map, &prefix, Some(&key)) {
-            let gone = !on.electors.here(&claim.holder) || on.now > claim.ends as Micros + GRACE;
+            let gone = !on.electors.here(&claim) || on.now > claim.ends as Micros + GRACE;
             // The origin still drops its repeats for as long as the asker will send.
             let over = ask.take_over > 0 && claim.first >= asker.first;
             let free = match ran {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -228,7 +228,7 @@
             me: me.into(),
             start,
             ledger,
-            electors: Electors { all: [(me.to_string(), true)].into(), vouches: false },
+            electors: Electors { all: [(me.to_string(), Some(start))].into(), vouches: false },
             peers: BTreeMap::new(),
             joined: false,
             news: VecDeque::new(),
@@ -553,9 +553,13 @@
         let settled = SETTLED * self.plan.period;
         let now = self.now;
         let counts = |known: &&Known| known.elector && (!known.peer.left || now < known.here_at + settled);
-        self.electors.all =
-            self.peers.values().filter(counts).map(|k| (k.peer.name.clone(), k.peer.here)).collect();
-        self.electors.all.insert(self.me.clone(), true);
+        self.electors.all = self
+            .peers
+            .values()
+            .filter(counts)
+            .map(|k| (k.peer.name.clone(), k.peer.here.then_some(k.peer.start)))
+            .collect();
+        self.electors.all.insert(self.me.clone(), Some(self.start));
     }
 
     // Time.
--- a/crates/replica/tests/ledger.rs
+++ b/crates/replica/tests/ledger.rs
@@ -34,6 +34,7 @@
     map: Map,
     vouches: bool,
     runs: bool,
+    anew: bool,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -104,6 +105,7 @@
         map: Map::new(Room { entries: 100, bytes: 1_000_000 }),
         vouches,
         runs: true,
+        anew: start > 100,
     }
 }
 
@@ -120,7 +122,8 @@
         step: impl FnOnce(&mut Ledger, &mut Ground, &mut Out, Broken) -> Option<(usize, Reply)>,
     ) {
         let here = |m: usize| world.nodes[m].runs && (!world.cut || side(m) == side(n));
-        let all = (0..MANY).map(|m| (format!("front-{m}"), here(m))).collect();
+        let start = |m: usize| here(m).then_some(if world.nodes[m].anew { 200 } else { 100 });
+        let all = (0..MANY).map(|m| (format!("front-{m}"), start(m))).collect();
         let Node { ledger, map, vouches, .. } = &mut world.nodes[n];
         let electors = Electors { all, vouches: *vouches };
         let mut out = Out::default();
