--- a/crates/front/src/front/actions.rs
+++ b/crates/front/src/front/actions.rs
@@ -79,8 +79,12 @@
     }
 
     pub(super) fn send(&mut self, id: u32, peer: PeerIx, time_out: Micros, fill: Option<Fill>, now: Micros) {
+        let shares = self.shares();
         let Some(taken) = self.lookups.get_mut(&id) else { return };
         let (number, left) = (taken.sends.len() as u8, taken.expires - now);
+        if shares {
+            taken.sources.push(fill.map_or(peer, |f| f.source));
+        }
         self.serial += 1;
         let out = Out { lookup: id, send: number, at: now, serial: self.serial };
         let time_out = if time_out == 0 { left } else { time_out.min(left) };
--- a/crates/front/src/front/lookups.rs
+++ b/crates/front/src/front/lookups.rs
@@ -28,6 +28,8 @@
     /// Where effects are written down: how far its claim has come, and whether a send of it may have run.
     pub(super) effect: Effect,
     pub(super) ran: bool,
+    /// Where state is shared: by the number of the send, the source that it named.
+    pub(super) sources: SmallVec<[PeerIx; 2]>,
 }
 
 /// A lookup with an effect, at the ledger that the fronts share.
@@ -66,7 +68,7 @@
         let (asker, kind) = (self.names.asker(seen), usable.unwrap_or(0));
         let (size_kb, bytes) = (request.size_kb, request.body.len() as u32);
         let (sends, done) = (SmallVec::new(), Done::default());
-        let (effect, ran) = (Effect::None, false);
+        let (effect, ran, sources) = (Effect::None, false, SmallVec::new());
         let taken = Taken {
             client,
             stream,
@@ -79,6 +81,7 @@
             sends,
             effect,
             ran,
+            sources,
         };
         self.lookups.insert(lookup, taken);
         if let Err(what) = usable {
--- a/crates/front/src/front/shared.rs
+++ b/crates/front/src/front/shared.rs
@@ -254,10 +254,15 @@
 
     /// A send to a machine has ended, for those who come after.
     pub(super) fn saw_end(&mut self, outcome: &Outcome) {
+        let source = self.lookups.get(&outcome.id).and_then(|t| t.sources.get(usize::from(outcome.send)));
+        let source = source.copied().filter(|source| *source != outcome.peer);
+        let Some(fronts) = &mut self.fronts else { return };
         let machine = self.machines.name(outcome.peer);
-        if let Some(fronts) = &mut self.fronts {
-            let failed = !matches!(outcome.ending, Ending::Satisfied | Ending::Miss | Ending::Cancelled);
-            fronts.share(|replica, _| replica.saw_end(machine, failed, None));
+        let failed = !matches!(outcome.ending, Ending::Satisfied | Ending::Miss | Ending::Cancelled);
+        fronts.share(|replica, _| replica.saw_end(machine, failed, None));
+        if let (Some(source), Some(time)) = (source, outcome.first_byte) {
+            let source = self.machines.name(source);
+            fronts.share(|replica, _| replica.saw_end(source, false, Some(time)));
         }
     }
 
--- a/crates/front/src/net/fronts.rs
+++ b/crates/front/src/net/fronts.rs
@@ -37,6 +37,8 @@
     shared: Vec<replica::Act>,
     /// Datagrams that the kernel had no room for.
     pub unsent: u64,
+    /// What members have said of themselves, as far as it was handed on.
+    worded: u64,
     /// No contact was told: there may be nobody to agree with.
     alone: bool,
     /// There may be more to read.
@@ -76,6 +78,7 @@
             replica,
             shared: Vec::new(),
             unsent: 0,
+            worded: 0,
             alone,
             waits: false,
         };
@@ -216,7 +219,8 @@
                 }
             }
         }
-        if changed {
+        if changed || self.worded != self.view.worded() {
+            self.worded = self.view.worded();
             self.tell_fleet(now);
         }
         self.carry_shared(now, poll);
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -255,6 +255,7 @@
     now: Micros,
     rng: fastrand::Rng,
     spare: Vec<u8>,
+    worded: u64,
     pub counts: Counts,
 }
 
@@ -311,6 +312,7 @@
             now,
             rng,
             spare: Vec::new(),
+            worded: 0,
             counts: Counts::default(),
         };
         view.digest.turn(&view.me.name, &view.own, 0);
@@ -346,6 +348,11 @@
         self.digest.root()
     }
 
+    /// Grows with each thing that a member is heard to say of itself, also the first, which is told as no change.
+    pub fn worded(&self) -> u64 {
+        self.worded
+    }
+
     /// When who is there changed last, by this view.
     pub fn settled_since(&self) -> Option<Micros> {
         let open = self.members.values().any(|m| m.claim.state == State::Suspected);
@@ -1044,6 +1051,7 @@
                 self.changed_at = now;
             }
             self.forgotten.remove(name);
+            self.worded += 1;
             let by = by_of(why, name, &self.members);
             self.news(name, None, claim, why, by, out);
             return Ok(());
@@ -1068,6 +1076,7 @@
                 self.digest.turn(name, &member.claim, member.rev);
             }
             let first = member.rev == 0;
+            self.worded += 1;
             // Old news, from a digest, is not told on: digests go on by themselves.
             let told_on = why != Why::Caught;
             (member.rev, member.body, member.raw) = (rev.max(member.rev), body, raw);
