A stream that is of no use gives way to one that is wanted

At 150 processes each front talks to more others in a second than it may hold streams to; a full table sent it back to datagrams for 15 s. Excluded: idle threads of the relay, streams for want of room. The story shows old suspicions that are still told five to ten seconds later.

--- a/crates/front/src/net/streams.rs
+++ b/crates/front/src/net/streams.rs
@@ -11,7 +11,7 @@
 
 /// Streams that this front opened, and that others opened to it, at one time.
 const OUT: usize = 8;
-const IN: usize = 24;
+const IN: usize = 32;
 /// What may lie in one direction of a stream: a slow one holds no more, and the next piece for it is dropped.
 const RING: usize = 4 * CHUNK_MOST;
 const HEAD: usize = 4;
@@ -87,8 +87,14 @@
 
     fn begin(&mut self, to: SocketAddr, now: Micros, poll: &mut Poll) -> Option<u64> {
         if self.open.values().filter(|s| s.to.is_some()).count() >= OUT {
-            self.full += 1;
-            return None;
+            // The one that was of no use for longest gives way: with many fronts each talks to another all the time.
+            let idle = |s: &&Stream| s.to.is_some() && s.up && s.link.outbound.is_empty() && s.link.quiet();
+            let least = self.open.iter().filter(|(_, s)| idle(s)).min_by_key(|(_, s)| s.moved);
+            let Some(number) = least.map(|(number, _)| *number) else {
+                self.full += 1;
+                return None;
+            };
+            self.drop(number, poll);
         }
         let number = poll.key();
         // From the address that others know, so that whoever stands between can tell who it is.
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -194,8 +194,9 @@
 pub const FRONTS: usize = 250;
 /// Streams that are carried at one time, over all links.
 const STREAMS: usize = 400;
-/// How long a stream with nothing on its way looks away.
+/// How long one that is cut looks away, and one with nothing on its way: hundreds of them share the machine with those that are tested.
 const LOOK: Duration = Duration::from_millis(5);
+const QUIET: Duration = Duration::from_millis(100);
 /// What a lost part of a stream costs: it is sent again.
 const AGAIN: Duration = Duration::from_millis(50);
 
@@ -243,7 +244,7 @@
     let seed = (link.0 as u64) << 32 | link.1 as u64;
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut bytes = [0; 8192];
-    let _ = source.set_read_timeout(Some(LOOK));
+    let _ = source.set_read_timeout(Some(QUIET));
     while !over.load(Relaxed) {
         let Ok(fault) = shared.lock().map(|s| s.faults.get(&link).cloned().unwrap_or_default()) else {
             return;
