--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -304,6 +304,12 @@
   contact: "127.0.0.2:7000"
   zone: "east"
   period_ms: 500
+  replica {
+    bytes_per_s: 9000
+    snapshot: "/tmp/shared"
+    ledger { copies: 5 unwritten: SERVE
+      keep_s: 60 }
+  }
 }
 "#;
 
@@ -317,6 +323,13 @@
         assert_eq!(plan.client_by, ClientBy::Field("desk".into()));
         let fleet = settings.fleet.unwrap();
         assert_eq!((fleet.period, fleet.contacts.len(), fleet.advertise), (500_000, 1, fleet.listen));
+        let shared = settings.replica.unwrap();
+        assert_eq!((shared.plan.bytes_per_s, shared.snapshot.as_deref()), (9000, Some("/tmp/shared")));
+        assert_eq!((shared.plan.zone.as_str(), shared.plan.fleet), ("east", fleet.number()));
+        let ledger = shared.plan.ledger.unwrap();
+        let usual = replica::Ledger::default();
+        assert_eq!((ledger.copies, ledger.unwritten), (5, replica::Unwritten::Serve));
+        assert_eq!((ledger.keep, ledger.write_part), (60 * replica::SECOND, usual.write_part));
         assert_eq!(read("").unwrap(), Settings::default());
     }
 
@@ -349,6 +362,12 @@
             ("127.0.0.1:7000", "0.0.0.0:7000", "fleet.advertise", 17),
             ("127.0.0.2:7000", "contact", "fleet.contact[0]", 19),
             ("zone: \"east\"", "members_most: 1", "fleet.members_most", 20),
+            ("bytes_per_s: 9000", "bytes_per_s: 9", "fleet.replica.bytes_per_s", 23),
+            ("copies: 5", "copies: 0", "fleet.replica.ledger.copies", 25),
+            ("copies: 5", "copies: 5 write_part: 2", "fleet.replica.ledger.write_part", 25),
+            ("keep_s: 60", "keep_s: 0", "fleet.replica.ledger.keep_s", 26),
+            ("unwritten: SERVE", "unwritten: SWERVE", "fleet.replica.ledger.unwritten", 25),
+            ("zone: \"east\"", "remember_s: 30", "fleet.remember_s", 20),
             ("  client_field: \"desk\"\n", "", "turns.client_field", 4),
             ("  tenant_field: \"house\"\n", "", "turns.tenant_field", 4),
         ];
