Ledger: an owner vouches key by key, for those whose other owners it has compared with

The trace: owners 5, 0 and 2; 5 and 2 hold the claim while 0 is cut off; a heal of 1.3 s is too short for it to reach 0; 2 is killed and starts on the side of 0 and 1, which is cut off again. It took the others for long dead, as it had never met them, compared with 0 and 1 and vouched; 0 and 2 granted the mark anew.

That what the dead held has spread by now does not hold over a cut.

--- a/crates/front/src/front/shared.rs
+++ b/crates/front/src/front/shared.rs
@@ -109,7 +109,6 @@
                 warn!(log, "nothing from a donor"; "who" => former, "next" => next)
             }
             Told::Vouches { took } => info!(log, "vouches for effects"; "took_us" => took),
-            Told::Doubts => warn!(log, "was away: vouches for no effect until it has compared"),
         }
     }
 
--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -6,8 +6,8 @@
 //! majorities share an owner and an owner holds one open claim at most. A claim ends by its holder's word alone: surely
 //! not run, ran with this outcome, or lost. What nobody ended may have run.
 //!
-//! An owner that started anew knows nothing of what it held; it does not vouch until it has compared with all others
-//! (see `replica`). Owners that take others to own the key than the asker does refuse, so that a view which is late
+//! An owner that started anew knows nothing of what it held; it does not vouch for a key until it has compared with all
+//! other owners of it, whatever became of them (see `replica`). Owners that take others to own the key than the asker does refuse, so that a view which is late
 //! decides nothing.
 
 use crate::kinds::{self, Claim, Kind, Ran};
@@ -95,8 +95,11 @@
 pub struct Electors {
     /// By name; for those that are there the start of their process.
     pub all: BTreeMap<String, Option<u64>>,
-    /// This front knows enough to vouch.
-    pub vouches: bool,
+    /// This front has agreed with another on who there is, or has none to agree with: till then it may be one of many that
+    /// it knows nothing of.
+    pub joined: bool,
+    /// Those that this front has compared its claims with since its start.
+    pub compared: BTreeSet<String>,
 }
 
 impl Electors {
@@ -570,7 +573,10 @@
         if !mutant("any-owner") && on.electors.owners(&prefix, self.plan.copies) != ask.owners {
             return (Verdict::Differs, Vec::new());
         }
-        if !on.electors.vouches && !mutant("vouches-at-once") {
+        // What it held before its start it may have agreed on with any other owner of this key, and with that one alone.
+        let unknown = |owner: &&String| **owner != self.me && !on.electors.compared.contains(*owner);
+        let alone = !on.electors.joined;
+        if (alone || ask.owners.iter().any(|owner| unknown(&owner))) && !mutant("vouches-at-once") {
             return (Verdict::NotYet, Vec::new());
         }
         let Some((_, asker)) = kinds::read_effect(&entry(&record)) else {
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -71,8 +71,9 @@
     elector: bool,
     /// When it was there last.
     here_at: Micros,
-    /// When what is held was compared with it last, for vouching.
-    compared: Option<Micros>,
+    /// What it holds of effects was compared since this front's start. Nothing undoes that: what this front agrees to it
+    /// remembers, and what a later process of that name agrees to, that one has to compare with this front first.
+    compared: bool,
 }
 
 /// What the host is to do.
@@ -117,8 +118,6 @@
     Donor { former: String, next: String },
     /// From now on this front vouches for effects.
     Vouches { took: Micros },
-    /// It was stopped: it compares before it vouches again.
-    Doubts,
 }
 
 /// One lane of catching up.
@@ -173,9 +172,9 @@
     map: Map,
     ledger: Option<Ledger>,
     electors: Electors,
+    /// It has compared with all that decide on effects.
+    vouches: bool,
     peers: BTreeMap<String, Known>,
-    /// This front has agreed with another on who there is, or has none to agree with.
-    joined: bool,
     news: VecDeque<(Key, u32)>,
     news_at: Option<Micros>,
     queued: BTreeMap<Key, u32>,
@@ -228,9 +227,9 @@
             me: me.into(),
             start,
             ledger,
-            electors: Electors { all: [(me.to_string(), Some(start))].into(), vouches: false },
+            electors: Electors { all: [(me.to_string(), Some(start))].into(), ..Electors::default() },
+            vouches: false,
             peers: BTreeMap::new(),
-            joined: false,
             news: VecDeque::new(),
             news_at: None,
             queued: BTreeMap::new(),
@@ -272,7 +271,7 @@
     }
 
     pub fn vouches(&self) -> bool {
-        self.electors.vouches
+        self.vouches
     }
 
     pub fn electors(&self) -> &Electors {
@@ -507,31 +506,26 @@
     /// This front was stopped or starved for so long: what it held may be old.
     pub fn was_away(&mut self, now: Micros, acts: &mut Vec<Act>) {
         self.now = self.now.max(now);
-        if self.electors.vouches {
-            self.electors.vouches = false;
-            acts.push(Act::Tell(Told::Doubts));
-        }
-        self.vouch_since = now;
-        self.peers.values_mut().for_each(|known| known.compared = None);
+        // Of effects it has forgotten nothing that it agreed to, so it goes on to vouch; all else is compared at once.
         self.period_at = now;
+        for name in self.some(2) {
+            self.ask_roots(&name, acts);
+        }
     }
 
     /// Who there is, whenever that has changed.
     pub fn fleet(&mut self, now: Micros, joined: bool, peers: Vec<Peer>, acts: &mut Vec<Act>) {
         self.now = self.now.max(now);
-        self.joined = joined;
+        self.electors.joined = joined;
         let names: BTreeSet<String> = peers.iter().map(|p| p.name.clone()).collect();
         for peer in peers {
             let known = self.peers.entry(peer.name.clone()).or_insert_with(|| Known {
                 peer: peer.clone(),
                 elector: false,
                 here_at: now,
-                compared: None,
+                compared: false,
             });
             known.elector |= peer.ledger;
-            if known.peer.start != peer.start {
-                known.compared = None;
-            }
             if peer.here || known.peer.here {
                 known.here_at = now;
             }
@@ -560,6 +554,8 @@
             .map(|k| (k.peer.name.clone(), k.peer.here.then_some(k.peer.start)))
             .collect();
         self.electors.all.insert(self.me.clone(), Some(self.start));
+        self.electors.compared =
+            self.peers.iter().filter(|(_, k)| k.compared).map(|(name, _)| name.clone()).collect();
     }
 
     // Time.
@@ -716,31 +712,34 @@
         if !self.afford() {
             return;
         }
-        let roots = Tree::ALL.into_iter().map(|tree| self.map.root(tree)).collect();
         for name in self.some(1) {
-            self.send(&name, Said::Roots(Roots { roots: Vec::clone(&roots) }), acts);
+            self.ask_roots(&name, acts);
         }
     }
 
+    fn ask_roots(&mut self, name: &str, acts: &mut Vec<Act>) {
+        let roots = Tree::ALL.into_iter().map(|tree| self.map.root(tree)).collect();
+        self.send(name, Said::Roots(Roots { roots }), acts);
+    }
+
     /// Asks whom it still has to compare effects with, so as to vouch.
     fn vouch(&mut self, acts: &mut Vec<Act>) {
-        if self.electors.vouches || self.ledger.is_none() || !self.joined {
+        if self.ledger.is_none() || !self.electors.joined {
             return;
         }
-        let (now, settled) = (self.now, SETTLED * self.plan.period);
-        let needed = |known: &Known| known.elector && (known.peer.here || now < known.here_at + settled);
-        let open: Vec<String> = self
-            .peers
-            .iter()
-            .filter(|(_, known)| needed(known) && known.compared.is_none())
-            .map(|(name, _)| name.clone())
-            .collect();
-        // What was on its way when this front started has arrived by then.
-        if open.is_empty() && now >= self.vouch_since + 2 * self.plan.period {
-            self.electors.vouches = true;
-            self.comparing.clear();
-            return acts.push(Act::Tell(Told::Vouches { took: now - self.vouch_since }));
+        let now = self.now;
+        let open = self.peers.iter().filter(|(_, known)| known.elector && !known.compared);
+        let open: Vec<String> =
+            open.filter(|(_, known)| known.peer.here).map(|(name, _)| name.clone()).collect();
+        // Those that are gone are missed by the keys that they own with this front, and by no others.
+        let mut others = self.electors.all.keys().filter(|name| **name != self.me);
+        // In its first moments a front does not know of all others, nor they of it.
+        let young = now < self.vouch_since + 2 * self.plan.period || self.catching.is_some();
+        let all = !young && others.all(|name| self.electors.compared.contains(name));
+        if all && !self.vouches {
+            acts.push(Act::Tell(Told::Vouches { took: now - self.vouch_since }));
         }
+        self.vouches = all;
         for name in open {
             if self.comparing.get(&name).is_some_and(|c| now < c.asked_at + STALLED) {
                 continue;
@@ -760,8 +759,8 @@
             .is_some_and(|c| c.all && c.wants.as_ref().is_some_and(BTreeSet::is_empty));
         if done {
             self.comparing.remove(name);
-            let now = self.now;
-            self.peers.get_mut(name).into_iter().for_each(|known| known.compared = Some(now));
+            self.peers.get_mut(name).into_iter().for_each(|known| known.compared = true);
+            self.elect();
         }
     }
 
@@ -797,6 +796,7 @@
         }
         items.all = items.buckets.len() == many;
         if tree == Tree::Effects {
+            items.knows = self.electors.all.contains_key(from);
             items.electors = self.electors.all.keys().cloned().collect();
             items.electors.truncate(256);
         }
@@ -822,7 +822,7 @@
         let open = tree == Tree::Effects && self.comparing.contains_key(from);
         if let Some(comparing) = self.comparing.get_mut(from).filter(|_| open) {
             comparing.wants = Some(wants.clone());
-            comparing.all = items.all;
+            comparing.all = items.all && items.knows;
             // Whom the other counts besides: they may come back with what they held.
             let (now, me, settled) = (self.now, self.me.clone(), SETTLED * self.plan.period);
             for name in items.electors.into_iter().filter(|name| *name != me) {
@@ -839,10 +839,10 @@
                         shares,
                         ledger,
                     };
-                    Known { peer, elector: true, here_at: now - settled, compared: None }
+                    Known { peer, elector: true, here_at: now - settled, compared: false }
                 });
             }
-            if !items.all {
+            if !comparing.all {
                 // The rest is found by the next comparison, which begins at another bucket.
                 comparing.asked_at = self.now - STALLED;
             }
@@ -893,7 +893,7 @@
         let Some(mut catching) = self.catching.take() else { return };
         let (now, took) = (self.now, self.now - catching.begun);
         let done = |tree: Tree, c: &Catching| c.trees[tree as usize].1;
-        let alone = self.joined && self.peers.values().all(|k| !k.peer.here || !k.peer.shares);
+        let alone = self.electors.joined && self.peers.values().all(|k| !k.peer.here || !k.peer.shares);
         if alone {
             catching.trees.iter_mut().for_each(|(_, done)| *done = true);
         }
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -131,6 +131,9 @@
     /// These are all buckets that differ.
     #[prost(bool, tag = "5")]
     pub all: bool,
+    /// The sender holds the receiver to decide on effects, so it agrees to nothing without it from now on.
+    #[prost(bool, tag = "6")]
+    pub knows: bool,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/replica/tests/ledger.rs
+++ b/crates/replica/tests/ledger.rs
@@ -125,7 +125,9 @@
         let start = |m: usize| here(m).then_some(if world.nodes[m].anew { 200 } else { 100 });
         let all = (0..MANY).map(|m| (format!("front-{m}"), start(m))).collect();
         let Node { ledger, map, vouches, .. } = &mut world.nodes[n];
-        let electors = Electors { all, vouches: *vouches };
+        let names = |m: usize| format!("front-{m}");
+        let compared = if *vouches { (0..MANY).map(names).collect() } else { Default::default() };
+        let electors = Electors { all, joined: true, compared };
         let mut out = Out::default();
         let reply = step(ledger, &mut Ground { now: NOW, map, electors: &electors }, &mut out, self.0);
         if let Some((to, reply)) = reply {
