Tidy: buckets are sent from one place, news without an empty count, an unused bound out

News carried a number that was always 0; digests of buckets were put together twice; a machine's start was set to what it was filtered by.

--- a/crates/front/src/front/shared.rs
+++ b/crates/front/src/front/shared.rs
@@ -167,9 +167,8 @@
         };
         fronts.share(|replica, _| {
             replica.put_machine(now, &member.id, member.up_since, phase, &machine);
-            if let Some((start, phase)) = replica.standing(&member.id).filter(|(s, _)| *s == member.up_since)
-            {
-                (member.up_since, member.standing) = (start, standing(phase));
+            if let Some((_, phase)) = replica.standing(&member.id).filter(|(s, _)| *s == member.up_since) {
+                member.standing = standing(phase);
             }
         });
         member
--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -15,7 +15,7 @@
 use crate::mutant;
 use crate::plan::{self, Unwritten};
 use crate::wire::{Ask, Record, Reply};
-use crate::{Micros, SEC};
+use crate::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -648,7 +648,3 @@
         asked.key = None;
     }
 }
-
-/// A little more than the largest clock difference that the ledger bears.
-pub const CLOCKS: Micros = MARGIN / 2;
-const _: () = assert!(CLOCKS < SEC);
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -176,7 +176,7 @@
     /// It has compared with all that decide on effects.
     vouches: bool,
     peers: BTreeMap<String, Known>,
-    news: VecDeque<(Key, u32)>,
+    news: VecDeque<Key>,
     news_at: Option<Micros>,
     queued: BTreeMap<Key, u32>,
     period_at: Micros,
@@ -613,7 +613,7 @@
                 self.queued.remove(&key);
                 return;
             }
-            self.news.push_back((key, 0));
+            self.news.push_back(key);
         }
         let at = self.now + GATHER;
         self.news_at = Some(self.news_at.map_or(at, |n| n.min(at)));
@@ -626,7 +626,7 @@
             return;
         }
         let (mut records, mut size, mut rest) = (Vec::new(), 0, VecDeque::new());
-        while let Some((key, _)) = self.news.pop_front() {
+        while let Some(key) = self.news.pop_front() {
             let Some(left) = self.queued.get_mut(&key) else { continue };
             let Some(record) = self.map.record(&key) else {
                 self.queued.remove(&key);
@@ -634,7 +634,7 @@
             };
             let more = record.encoded_len() + 4;
             if size + more > CHUNK && !records.is_empty() {
-                rest.push_back((key, 0));
+                rest.push_back(key);
                 break;
             }
             size += more;
@@ -643,7 +643,7 @@
             if *left == 0 {
                 self.queued.remove(&key);
             } else {
-                rest.push_back((key, 0));
+                rest.push_back(key);
             }
         }
         // Those told fewer times come first next time.
@@ -749,12 +749,15 @@
             }
             let comparing = Comparing { asked_at: now, wants: None, all: false };
             self.comparing.insert(name.clone(), comparing);
-            let tree = Tree::Effects;
-            let buckets = Buckets { tree: tree as u32, digests: self.map.digests(tree) };
-            self.send(&name, Said::Buckets(buckets), acts);
+            self.send_buckets(&name, Tree::Effects, acts);
         }
     }
 
+    fn send_buckets(&mut self, to: &str, tree: Tree, acts: &mut Vec<Act>) {
+        let buckets = Buckets { tree: tree as u32, digests: self.map.digests(tree) };
+        self.send(to, Said::Buckets(buckets), acts);
+    }
+
     fn compared(&mut self, name: &str) {
         let done = self
             .comparing
@@ -772,8 +775,7 @@
             let differs = roots.get(tree as usize).is_none_or(|root| *root != self.map.root(tree));
             // One that has not caught up is told all in order; a comparison would tell it the same in more bytes.
             if differs && !self.catching_up(tree) && self.afford() {
-                let buckets = Buckets { tree: tree as u32, digests: self.map.digests(tree) };
-                self.send(from, Said::Buckets(buckets), acts);
+                self.send_buckets(from, tree, acts);
             }
         }
     }
