--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -141,6 +141,8 @@
                 self.caches.forget(peer);
                 return None;
             }
+            // Answers to connections of a host's own, of which this wire has none.
+            Action::Write { .. } => return None,
         })
     }
 }
--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -470,14 +470,17 @@
         self.kinds[lk.kind].work
     }
 
+    /// The latest purge of the object or its group, while old copies may lie about.
+    fn purge(&self, lk: &Lookup, now: Micros) -> Option<Micros> {
+        self.purged.get(now, (Some(lk.object), 0)).max(self.purged.get(now, (None, lk.group)))
+    }
+
     /// Rule 5: how old a copy may be, 0 for any that the kind allows.
     fn age(&self, lk: &Lookup, now: Micros, grace: Micros) -> Micros {
-        let one = self.purged.get(now, (Some(lk.object), 0));
-        let all = self.purged.get(now, (None, lk.group));
         let kind = &self.kinds[lk.kind];
         let most = (kind.fresh > 0).then_some(kind.fresh + grace);
         // 0 would mean the default.
-        let since = one.max(all).map(|at| (now - at).max(1));
+        let since = self.purge(lk, now).map(|at| (now - at).max(1));
         since.into_iter().chain(most).min().unwrap_or(0)
     }
 
@@ -576,7 +579,7 @@
         let (lk, now) = (held.lk, room.now);
         let left = lk.expires - now;
         let cap = room.rules.num("limits.send_cap", 4.0) as usize;
-        if left <= 0 || held.sends.len() >= cap || !self.may_send(held, room) {
+        if left <= 0 || held.half_closed || held.sends.len() >= cap || !self.may_send(held, room) {
             return self.give_up(id, room);
         }
         let direct = room.rules.is("specifics.pass_through_ok");
@@ -687,6 +690,7 @@
             fill_work: self.own_work(&lk, room),
             norm: norm(self.cards[cache].role),
             fill_norm: norm(Role::Parent),
+            purged: self.purge(&lk, now),
         };
         if fill.source == cache {
             room.tell(cache, Note::Carry(bid));
@@ -697,10 +701,12 @@
 
     /// Rule 2, and never two sends at once.
     fn may_send(&self, held: &Held, room: &Room<Note>) -> bool {
-        if held.sends.iter().any(|s| s.out) {
-            return false;
-        }
-        let Some(first) = held.sends.iter().find(|s| s.may_have_run) else {
+        !held.sends.iter().any(|s| s.out) && self.may_repeat(held, held.sends.len(), room)
+    }
+
+    /// Whether another send may go out beside the first so many.
+    fn may_repeat(&self, held: &Held, sends: usize, room: &Room<Note>) -> bool {
+        let Some(first) = held.sends[..sends].iter().find(|s| s.may_have_run) else {
             return true;
         };
         let kind = &self.kinds[held.lk.kind];
@@ -712,6 +718,33 @@
         }
     }
 
+    /// A send may be written now that its connection is up. That took its time: against a drain, a purge, the end of a
+    /// window or of the client's wish told meanwhile, it is judged as if it were decided now, and called back where it
+    /// would break a rule; what is not written never ran. Could hurt where purges are so many that no send is written
+    /// in time; each that is called back counts towards the cap.
+    fn connected(&mut self, id: u32, send: u8, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get(&id) else { return };
+        let Some(sent) = held.sends.get(usize::from(send)).filter(|s| s.out) else { return };
+        let open = |ix: PeerIx| self.cards[ix].open;
+        let good = !(held.ended || held.half_closed)
+            && open(sent.peer)
+            && sent.source.is_none_or(open)
+            && self.purge(&held.lk, room.now) == sent.purged
+            && self.may_repeat(held, usize::from(send), room);
+        room.out.push(if good { Action::Write { id, send } } else { Action::Cancel { id, send } });
+        let held = self.lookups.get_mut(&id).into_iter();
+        held.for_each(|held| held.sends[usize::from(send)].recalled = !good);
+    }
+
+    /// The client has ended its side: what is out may still find it listening, and what is not never goes out.
+    fn half_closed(&mut self, id: u32, room: &mut Room<Note>) {
+        let Some(held) = self.lookups.get_mut(&id) else { return };
+        held.half_closed = true;
+        if held.sends.iter().all(|s| !s.out) {
+            self.give_up(id, room);
+        }
+    }
+
     fn sent(&mut self, bid: Bid, room: &mut Room<Note>) {
         let Some(held) = self.lookups.get_mut(&bid.lk) else { return };
         held.sends.push(Sent::new(&bid, room.now));
@@ -782,7 +815,8 @@
         // In doubt the one that stands out is left alone next time, and the other tried again.
         let doubt = |ix: PeerIx| self.cards[ix].doubt.drifted(room.now, 0.0, DRIFT);
         let source_worse = send.source.is_some_and(|s| doubt(s) > doubt(o.peer));
-        send.waited = hung;
+        let recalled = send.recalled && o.ending == Ending::Moot;
+        send.waited = hung || recalled;
         send.cache_failed = !(satisfied || upstream || send.waited || (unclear && source_worse));
         send.source_failed = at_source || (unclear && source_worse) || o.ending == Ending::Miss;
         let (at, source_ix, share, fetch, ask) = (send.at, send.source, send.fill, send.fetch, send.ask);
@@ -870,7 +904,7 @@
             self.close(o.id, room);
         } else if wait && self.wait(&lk, own, room) {
             // Its ring brings it back.
-        } else if told_so {
+        } else if told_so || recalled {
             self.plan(o.id, room);
         } else if !self.lookups.get(&o.id).is_some_and(|h| h.sends.iter().any(|s| s.out)) {
             self.again(o.id, room);
@@ -907,7 +941,7 @@
         let Some(held) = self.lookups.get_mut(&lk.id) else { return false };
         let at = room.now + held.sends.len() as Micros * (own as Micros / 4).max(WAIT_LEAST);
         let late = at + own as Micros > lk.expires.min(held.asked_at + budget);
-        held.waiting = !(late || room.rules.is("specifics.shares_fills"));
+        held.waiting = !(late || held.half_closed || room.rules.is("specifics.shares_fills"));
         if held.waiting {
             held.sends.iter_mut().for_each(|s| s.waited = true);
             room.out.push(Action::Ring { at, token: lk.id });
@@ -972,6 +1006,8 @@
             Event::Began { id } => desk.lookups.get_mut(&id).into_iter().for_each(|held| held.began = true),
             Event::Ended(outcome) => desk.ended(outcome, room),
             Event::Left { id } => desk.close(id, room),
+            Event::HalfClosed { id } => desk.half_closed(id, room),
+            Event::Connected { id, send } => desk.connected(id, send, room),
             Event::Rang { token } => {
                 match desk.lookups.get_mut(&token).map(|h| std::mem::take(&mut h.waiting)) {
                     Some(true) => desk.plan(token, room),
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -130,6 +130,16 @@
     Left {
         id: u32,
     },
+    /// The client has ended its side: nothing more is to begin for it, while what is out may still be of use.
+    HalfClosed {
+        id: u32,
+    },
+    /// The connection that a send waited for is up, and nothing was written on it. Hosts without connections of their
+    /// own never say so: there a send is out at once.
+    Connected {
+        id: u32,
+        send: u8,
+    },
     Rang {
         token: u32,
     },
@@ -196,6 +206,11 @@
         id: u32,
         send: u8,
     },
+    /// A send that waited for its connection may be written.
+    Write {
+        id: u32,
+        send: u8,
+    },
     Ring {
         at: Micros,
         token: u32,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -38,6 +38,8 @@
     /// What a peer of the cache's and the source's tier carries for this front, in work a second.
     pub norm: f64,
     pub fill_norm: f64,
+    /// The latest purge that bounds the age of a copy.
+    pub purged: Option<Micros>,
 }
 
 pub struct Sent {
@@ -55,6 +57,10 @@
     pub ask: Ask,
     /// What it found was waited upon: it says nothing of what is there now.
     pub waited: bool,
+    /// The purge that bounded it, by its time.
+    pub purged: Option<Micros>,
+    /// Called back before it was written, as what it was decided upon had changed.
+    pub recalled: bool,
 }
 
 impl Sent {
@@ -72,6 +78,8 @@
             fetch: bid.fetch,
             ask: bid.ask,
             waited: false,
+            purged: bid.purged,
+            recalled: false,
         }
     }
 }
@@ -95,6 +103,8 @@
     pub again: bool,
     /// No send is out, but a ring is due.
     pub waiting: bool,
+    /// The client has ended its side: no further send begins.
+    pub half_closed: bool,
 }
 
 impl Held {
@@ -109,6 +119,7 @@
             asked_at: 0,
             again: false,
             waiting: false,
+            half_closed: false,
         }
     }
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -14,9 +14,9 @@
 use self::lookups::{Effect, Taken};
 use crate::config::Config;
 use crate::frame;
-use crate::net::caches::{Caches, Ended};
+use crate::net::caches::{Caches, Ended, Out};
 use crate::net::calls::add;
-use crate::net::clients::{Clients, Heard};
+use crate::net::clients::{Clients, Heard, DRAIN};
 use crate::net::fronts::Fronts;
 use crate::net::journal::Journal;
 use crate::net::operators::Operators;
@@ -42,14 +42,15 @@
 const TICK: Micros = 250_000;
 /// How long after the signal to end connections and lookups may still come in (the platform says 0.6 s).
 const LINGER: Micros = 700_000;
-/// How long last answers are left to be read by whoever is slow, before the program ends.
-const LAST: Micros = 300_000;
+/// How long last answers are left to be read by whoever is slow, before the program ends: what drains is left its time.
+const LAST: Micros = DRAIN + TICK;
 
 #[derive(Default)]
 struct Spare {
     events: Vec<Event>,
     actions: Vec<Action>,
     ended: Vec<Ended>,
+    connected: Vec<Out>,
     heard: Vec<Heard>,
     turns: Vec<Turn>,
     over: Vec<u32>,
@@ -64,7 +65,7 @@
     poll: Poll,
     listener: Option<(TcpListener, RegistrationToken)>,
     /// Connections may be waiting to be accepted.
-    knocking: bool,
+    pending_accept: bool,
     clients: Clients,
     door: Door,
     names: Names,
@@ -129,7 +130,7 @@
             module,
             poll,
             listener: Some((listener, token)),
-            knocking: true,
+            pending_accept: true,
             clients: Clients::new(config.clients, config.longest),
             door: Door::new(config.own.turns.clone(), &kinds, bounds, config.seed, now),
             names: Names::new(&config.own.turns, config.seed),
@@ -221,7 +222,7 @@
             return false;
         }
         let done_at = *self.done_at.get_or_insert_with(|| {
-            self.timers.push(Reverse((now + LAST, Timer::Part)));
+            self.timers.push(Reverse((now + LAST, Timer::Close)));
             now
         });
         self.clients.is_empty() || now >= done_at + LAST
@@ -277,12 +278,12 @@
 
     fn ready(&mut self, key: Key, ready: Readiness, now: Micros) {
         match key {
-            Key::Door => self.knocking = true,
+            Key::Door => self.pending_accept = true,
             Key::Signal if !self.ending => {
                 info!(self.log, "ending"; "open" => self.lookups.len());
                 (self.ending, self.clients.ready) = (true, false);
                 self.with_fronts(now, |fronts, poll| fronts.leave(now, poll));
-                self.timers.push(Reverse((now + LINGER, Timer::Part)));
+                self.timers.push(Reverse((now + LINGER, Timer::Close)));
             }
             Key::Signal => {}
             Key::Reload => self.reload(now),
@@ -397,7 +398,7 @@
                     report::log(&self.log, &self.door.report());
                     self.follow_plan(now);
                 }
-                Timer::Part => self.part(now),
+                Timer::Close => self.close(now),
                 Timer::Fleet(at) => self.fleet_rang(at, now),
             }
         }
@@ -405,7 +406,7 @@
     }
 
     fn tick(&mut self, now: Micros) {
-        self.knocking = true;
+        self.pending_accept = true;
         self.caches.sweep(now, &self.poll);
         self.clients.sweep(now, &mut self.poll);
         self.follow(now, |journal, poll, news| journal.keep_up(now, poll, news));
@@ -415,17 +416,17 @@
         self.timers.push(Reverse((now + TICK, Timer::Tick)));
     }
 
-    fn part(&mut self, now: Micros) {
+    fn close(&mut self, now: Micros) {
         // Whoever got as far as the kernel has been accepted by it; take them in before the door closes.
         self.admit(now);
         if let Some((_, token)) = self.listener.take() {
             self.poll.unwatch(token);
-            self.clients.part(now, &self.poll);
+            self.clients.shut_down(now, &mut self.poll);
         }
     }
 
     fn admit(&mut self, now: Micros) {
-        while self.knocking && self.clients.room(now, &mut self.poll) {
+        while self.pending_accept && self.clients.room(now, &mut self.poll) {
             let Some((listener, _)) = &self.listener else { return };
             add(&self.poll.calls.connections, 1);
             match listener.accept() {
@@ -436,7 +437,7 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => {
-                    self.knocking = false;
+                    self.pending_accept = false;
                     if e.kind() != io::ErrorKind::WouldBlock {
                         warn!(self.log, "accept"; "error" => %e);
                     }
@@ -462,9 +463,11 @@
                             self.events.push(Event::Left { id: lookup });
                         }
                         self.effect_over(lookup, None, now);
+                        self.withdraw_unwritten(lookup);
                         self.settle(lookup);
                     }
                 }
+                Heard::HalfClosed { lookup } => self.half_closed(lookup, now),
                 Heard::Asked { lookup, client, from, stream, request } => {
                     self.take(lookup, (client, from), stream, request, now);
                 }
--- a/crates/front/src/front/actions.rs
+++ b/crates/front/src/front/actions.rs
@@ -60,12 +60,15 @@
             Action::Nack { id, come_back } => self.nack(id, come_back, now),
             Action::Fail { id } => self.answer(id, (frame::FAILED, &[], &[]), now),
             Action::Cancel { id, send } => {
-                let out =
-                    self.lookups.get(&id).and_then(|t| t.sends.get(usize::from(send)).copied().flatten());
-                if let Some((number, serial)) = out {
+                if let Some((number, serial)) = self.out(id, send) {
                     self.caches.fail(number, serial, Cause::Withdrawn, &self.poll);
                 }
             }
+            Action::Write { id, send } => {
+                if let Some((number, serial)) = self.out(id, send) {
+                    self.caches.write(number, serial, &self.poll);
+                }
+            }
             Action::Ring { at, token } => self.timers.push(Reverse((at, Timer::Ring(token)))),
             // The journal service tells unasked.
             Action::Subscribe => {}
@@ -78,6 +81,11 @@
         }
     }
 
+    /// Connection and serial of a send that is out.
+    fn out(&self, id: u32, send: u8) -> Option<(u64, u64)> {
+        self.lookups.get(&id).and_then(|t| t.sends.get(usize::from(send)).copied().flatten())
+    }
+
     pub(super) fn send(&mut self, id: u32, peer: PeerIx, time_out: Micros, fill: Option<Fill>, now: Micros) {
         let shares = self.shares();
         let Some(taken) = self.lookups.get_mut(&id) else { return };
--- a/crates/front/src/front/clock.rs
+++ b/crates/front/src/front/clock.rs
@@ -33,5 +33,5 @@
     /// The view of the fleet, as it wanted to be asked then.
     Fleet(Micros),
     /// The front is ending: no more comes in from here on, and it may be done.
-    Part,
+    Close,
 }
--- a/crates/front/src/front/lookups.rs
+++ b/crates/front/src/front/lookups.rs
@@ -2,6 +2,7 @@
 
 use super::Front;
 use crate::frame;
+use crate::net::Cause;
 use meadowrill_core::interface::*;
 use meadowrill_turns::door::{Done, Offer, Ticket, Verdict};
 use meadowrill_turns::names::Seen;
@@ -148,6 +149,30 @@
         Some(whose)
     }
 
+    /// The client of a lookup has ended its side. What has not gone out yet never will: the decisions are told, and
+    /// what they have not heard of is refused here.
+    pub(super) fn half_closed(&mut self, lookup: u32, now: Micros) {
+        let Some(taken) = self.lookups.get_mut(&lookup).filter(|t| t.owed) else { return };
+        let waits = taken.place.as_ref().is_some_and(|place| self.door.waits(place));
+        if waits || taken.effect == Effect::Asking {
+            if let Some(place) = taken.place.take() {
+                self.door.left(now, place);
+            }
+            return self.nack(lookup, 0, now);
+        }
+        self.events.push(Event::HalfClosed { id: lookup });
+        self.withdraw_unwritten(lookup);
+    }
+
+    /// Ends the sends of a lookup that wait for their connection to come up: they were not written.
+    pub(super) fn withdraw_unwritten(&mut self, lookup: u32) {
+        let sends = self.lookups.get(&lookup).into_iter().flat_map(|t| t.sends.iter().copied().flatten());
+        let waiting: SmallVec<[_; 2]> = sends.filter(|(c, s)| self.caches.unwritten(*c, *s)).collect();
+        for (conn, serial) in waiting {
+            self.caches.fail(conn, serial, Cause::Withdrawn, &self.poll);
+        }
+    }
+
     /// Forgets a lookup that was answered once no send of it is out. Not before the module has heard so: until
     /// then it may send for it, and would wait for ever for the end of a send that nobody knows.
     pub(super) fn settle(&mut self, lookup: u32) {
--- a/crates/front/src/front/outcomes.rs
+++ b/crates/front/src/front/outcomes.rs
@@ -20,6 +20,13 @@
             self.caches.release(ended.conn, now, &self.poll);
         }
         self.spare.ended = ended;
+        // Judged again now that they can be written: the list, purges, a window or the client may have moved on.
+        let mut connected = std::mem::take(&mut self.spare.connected);
+        self.caches.connected(&mut connected);
+        for out in connected.drain(..) {
+            self.events.push(Event::Connected { id: out.lookup, send: out.send });
+        }
+        self.spare.connected = connected;
     }
 
     pub(super) fn end(&mut self, Ended { out, peer, result, conn }: &Ended, now: Micros) {
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -52,6 +52,8 @@
     peer: PeerIx,
     address: SocketAddr,
     up: bool,
+    /// Its request may be written: it was decided upon just now, or again once the connection was up.
+    cleared: bool,
     out: Option<Out>,
     head: Option<http::Answer>,
     interim: u32,
@@ -62,7 +64,7 @@
 
 impl Conn {
     fn reach(&self) -> Reach {
-        if !self.up {
+        if !self.up || !self.cleared {
             Reach::Unconnected
         } else if !self.link.outbound.is_empty() {
             Reach::PartlyWritten
@@ -106,6 +108,8 @@
     most: usize,
     life: Micros,
     ended: Vec<Ended>,
+    /// Sends whose connections have come up.
+    connected: Vec<Out>,
 }
 
 impl Caches {
@@ -117,6 +121,25 @@
             most,
             life: idle - BEFORE_IDLE.min(idle / 4),
             ended: Vec::new(),
+            connected: Vec::new(),
+        }
+    }
+
+    /// Sends whose connections have come up since the last call: nothing of them is written before
+    /// [`Caches::write`], as what they were decided upon may have changed meanwhile.
+    pub fn connected(&mut self, into: &mut Vec<Out>) {
+        into.append(&mut self.connected);
+    }
+
+    /// Writes a request whose connection has come up.
+    pub fn write(&mut self, number: u64, serial: u64, poll: &Poll) {
+        if !self.out(number, serial) {
+            return;
+        }
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        conn.cleared = true;
+        if let Err(e) = conn.link.flush() {
+            self.fail(number, serial, Cause::Io(e), poll);
         }
     }
 
@@ -173,6 +196,7 @@
         };
         let conn = self.conns.get_mut(&number)?;
         conn.out = Some(out);
+        conn.cleared = conn.up;
         if conn.link.outbound.put(request).is_err() {
             self.fail(number, out.serial, Cause::Io(io::ErrorKind::OutOfMemory.into()), poll);
             return None;
@@ -220,7 +244,18 @@
             Fault { reach, cause: Cause::Io(e) }
         })?;
         let (out, head, answered) = (None, None, None);
-        let conn = Conn { link, peer, address, up: false, out, head, interim: 0, answered, idle_since: 0 };
+        let conn = Conn {
+            link,
+            peer,
+            address,
+            up: false,
+            cleared: false,
+            out,
+            head,
+            interim: 0,
+            answered,
+            idle_since: 0,
+        };
         self.conns.insert(number, conn);
         Ok(number)
     }
@@ -264,6 +299,11 @@
         self.out(number, serial) && self.conns.get(&number).is_some_and(|c| !c.up)
     }
 
+    /// Whether nothing of a send may have been written yet.
+    pub fn unwritten(&self, number: u64, serial: u64) -> bool {
+        self.out(number, serial) && self.conns.get(&number).is_some_and(|c| !c.cleared)
+    }
+
     /// Ends a send and its connection, if it is still out there.
     pub fn fail(&mut self, number: u64, serial: u64, cause: Cause, poll: &Poll) {
         let Some(conn) = self.conns.get(&number) else { return };
@@ -278,7 +318,12 @@
         let Some(conn) = self.conns.get_mut(&number) else { return };
         conn.link.heard(ready);
         let serial = conn.out.map(|out| out.serial);
-        match Caches::exchange(conn, room, poll) {
+        let was_up = conn.up;
+        let step = Caches::exchange(conn, room, poll);
+        if conn.up && !was_up {
+            self.connected.extend(conn.out);
+        }
+        match step {
             Ok(None) => {}
             Ok(Some(head)) => {
                 let bytes = head.head + head.body;
@@ -303,7 +348,7 @@
             }
         }
         // A peer may answer before it has read all, and close: what it said counts.
-        let flushed = conn.link.flush();
+        let flushed = if conn.cleared { conn.link.flush() } else { Ok(()) };
         if !room {
             return flushed.map(|()| None).map_err(Cause::Io);
         }
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -24,9 +24,11 @@
 /// with nothing open on it. Clients close theirs earlier; some never do.
 const UNFINISHED: Micros = 2_000_000;
 const IDLE: Micros = 6_000_000;
-/// How long what still comes behind a fault is read and dropped: a close with bytes unread is a reset, in which
-/// the answer before it may be lost.
-const DRAIN: Micros = 1_000_000;
+/// How long what still comes behind the shutdown of our side is read and dropped, if the peer does not end its own
+/// before: a close with bytes unread is a reset, in which the answers before it may be lost.
+pub const DRAIN: Micros = 1_000_000;
+/// Connections that drain may take so many descriptors beside those that are served: one for so many of these.
+const DRAINING: usize = 8;
 /// What is younger is not let go for want of room: its first bytes may still be on their way.
 const YOUNG: Micros = 100_000;
 
@@ -42,6 +44,10 @@
     Left {
         lookup: u32,
     },
+    /// The client has ended its side: nothing is begun for it any more. What is out may still find it listening.
+    HalfClosed {
+        lookup: u32,
+    },
     /// For the log.
     Bad {
         client: u64,
@@ -55,11 +61,14 @@
     last_stream: u32,
     /// Streams with a lookup, in order; few.
     open: Vec<(u32, u32)>,
-    /// Nothing more is heard: the peer has ended its side, or no frame can be found any more.
-    deaf: bool,
-    ended: bool,
-    /// Its own side is shut, and what still comes is dropped until then.
-    drains: Option<Micros>,
+    /// What still comes is dropped: the peer has ended its side, no frame can be found any more, or ours is shut.
+    muted: bool,
+    /// The peer has ended its side.
+    half_closed: bool,
+    /// It was told to bring nothing new.
+    told: bool,
+    /// Our side is shut; the connection is closed at the peer's end, or then.
+    draining: Option<Micros>,
     /// A whole frame has come.
     spoke: bool,
     /// Since when a frame, or the first, is not whole.
@@ -82,13 +91,17 @@
         self.put(&frame::head(frame::ANSWER, stream, Some(code), Some(&[]), 0), &[])
     }
 
+    /// Once.
     fn no_more(&mut self) -> io::Result<()> {
+        if std::mem::replace(&mut self.told, true) {
+            return Ok(());
+        }
         self.put(&frame::head(frame::NO_MORE, 0, None, None, 0), &[])
     }
 
     /// Tells a fault, and hears nothing more: what it would still ask it is to ask elsewhere.
-    fn deafen(&mut self) -> io::Result<()> {
-        self.deaf = true;
+    fn stop_hearing(&mut self) -> io::Result<()> {
+        self.muted = true;
         self.unfinished = None;
         self.link.inbound.clear();
         self.reply(0, frame::FAILED)?;
@@ -97,10 +110,10 @@
 
     fn blame(&mut self) -> io::Result<()> {
         self.faults += 1;
-        if self.faults < FAULTS || self.deaf {
+        if self.faults < FAULTS || self.muted {
             return Ok(());
         }
-        self.deafen()
+        self.stop_hearing()
     }
 
     /// The lookup of a stream that is done with.
@@ -116,11 +129,10 @@
     /// How little is lost with it: the least first. None for what has something open, or may be about to.
     fn use_of(&self, now: Micros) -> Option<(u8, Micros)> {
         let old = |since: Micros| since + YOUNG <= now;
-        match (self.drains, self.unfinished) {
-            _ if !self.idle() => None,
-            (Some(at), _) => Some((0, at)),
-            (_, Some(since)) => old(since).then_some((u8::from(self.spoke), since)),
-            _ => old(self.used_at).then_some((2, self.used_at)),
+        match self.unfinished {
+            _ if !self.idle() || self.draining.is_some() => None,
+            Some(since) => old(since).then_some((u8::from(self.spoke), since)),
+            None => old(self.used_at).then_some((2, self.used_at)),
         }
     }
 }
@@ -162,14 +174,19 @@
     conns: BTreeMap<u64, Client>,
     /// Those with more to read than a round takes.
     more: BTreeSet<u64>,
+    /// Those that drain, by when that ends.
+    draining: BTreeSet<(Micros, u64)>,
+    /// Ceilings: those that are served, and those that drain.
     most: usize,
+    most_draining: usize,
     patience: Micros,
     lookups: u32,
     /// Whether the front says that it is ready.
     pub ready: bool,
     /// Where state is shared: whether it was there when the front became ready.
     pub caught_up: Option<bool>,
-    parting: bool,
+    /// The front is ending: nothing new is taken.
+    closing: bool,
     /// Fields that tell who asks.
     pub who: Who,
     heard: Vec<Heard>,
@@ -179,18 +196,27 @@
     spare: Spare,
 }
 
+/// Of so many descriptors, those for connections that drain.
+fn draining(most: usize) -> usize {
+    (most / DRAINING).max(1)
+}
+
 impl Clients {
+    /// For so many connections in all.
     pub fn new(most: usize, patience: Micros) -> Clients {
         let (conns, more, heard) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
+        let (most, most_draining) = (most - draining(most), draining(most));
         Clients {
             conns,
             more,
+            draining: BTreeSet::new(),
             most,
+            most_draining,
             patience,
             lookups: 0,
             ready: true,
             caught_up: None,
-            parting: false,
+            closing: false,
             who: Who::default(),
             heard,
             unwritten: Vec::new(),
@@ -230,27 +256,32 @@
     /// Whether another connection may be taken in. At the ceiling the one of least use is let go, lest those who
     /// say nothing, or have asked once and hold on, keep everybody else out.
     pub fn room(&mut self, now: Micros, poll: &mut Poll) -> bool {
-        while self.conns.len() >= self.most {
+        while self.conns.len() - self.draining.len() >= self.most {
             let of = |(number, c): (&u64, &Client)| c.use_of(now).map(|least| (least, *number));
             let Some((_, number)) = self.conns.iter().filter_map(of).min() else { return false };
-            self.let_go(number, now, poll);
+            self.close_idle(number, now, poll);
+        }
+        // Of those that drain the first has had the most time.
+        while self.conns.len() >= self.most + self.most_draining {
+            let Some((_, first)) = self.draining.first().copied() else { return false };
+            self.drop(first, poll);
         }
         true
     }
 
     /// Closes a connection with nothing open, unless something has come on it that was not read yet.
-    fn let_go(&mut self, number: u64, now: Micros, poll: &mut Poll) {
+    fn close_idle(&mut self, number: u64, now: Micros, poll: &mut Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
         let before = client.link.inbound.len();
-        if !client.deaf && poll.look(&mut client.link).is_ok() && client.link.inbound.len() > before {
+        if !client.muted && poll.look(&mut client.link).is_ok() && client.link.inbound.len() > before {
             client.used_at = now;
             client.unfinished = client.unfinished.map(|_| now);
             self.more.insert(number);
             return;
         }
-        // Whether it takes the word or not, this is its end.
-        let _ = client.no_more().and_then(|()| client.link.flush());
-        self.drop(number, poll);
+        client.muted = true;
+        let done = client.no_more();
+        self.settle(number, done, now, poll);
     }
 
     pub fn is_empty(&self) -> bool {
@@ -271,9 +302,10 @@
             from,
             last_stream: 0,
             open: Vec::new(),
-            deaf: false,
-            ended: false,
-            drains: None,
+            muted: false,
+            half_closed: false,
+            told: false,
+            draining: None,
             spoke: false,
             unfinished: Some(now),
             used_at: now,
@@ -309,23 +341,35 @@
         now: Micros,
         poll: &mut Poll,
     ) -> io::Result<bool> {
-        if client.deaf {
-            client.ended |= poll.discard(&mut client.link)?;
-            return Ok(client.link.readable && !client.ended);
+        // Behind the end of its stream a reset shows in no read.
+        if client.half_closed && !client.link.arrived()? {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        if client.muted {
+            client.half_closed |= poll.discard(&mut client.link)?;
+            return Ok(client.link.readable && !client.half_closed);
+        }
+        if !client.half_closed && poll.fill(&mut client.link)? {
+            // Whoever has closed has gone; whoever only ended its side hears what is out. One that has closed answers
+            // the word that nothing more is taken with a reset, and its sends end with it.
+            client.half_closed = true;
+            heard.extend(client.open.iter().map(|(_, lookup)| Heard::HalfClosed { lookup: *lookup }));
+            if !client.open.is_empty() {
+                client.no_more()?;
+            }
         }
-        client.ended |= poll.fill(&mut client.link)?;
         for _ in 0..TURN {
             let read = match frame::next(client.link.inbound.whole()) {
                 Ok(None) => {
                     let part = !client.spoke || !client.link.inbound.is_empty();
                     client.unfinished = if part { client.unfinished.or(Some(now)) } else { None };
-                    client.deaf = client.ended;
-                    return Ok(client.link.readable && !client.ended);
+                    client.muted |= client.half_closed;
+                    return Ok(client.link.readable && !client.half_closed);
                 }
                 Ok(Some(frame)) => frame,
                 Err(fault) => {
                     heard.push(Heard::Bad { client: number, fault });
-                    client.deafen()?;
+                    client.stop_hearing()?;
                     return Ok(client.link.readable);
                 }
             };
@@ -333,6 +377,11 @@
             let size = frame::HEAD + payload.len();
             let new = stream > client.last_stream;
             let bad = match kind {
+                // Of no use to whoever has gone, and crossing the word that nothing new is taken: the one answer, at once.
+                frame::ASK if new && (client.half_closed || client.told) => {
+                    client.reply(stream, frame::NACKED)?;
+                    None
+                }
                 frame::ASK if new && client.open.len() < OPEN => match frame::request(payload, who) {
                     Ok(request) => {
                         *lookups = lookups.wrapping_add(1).max(1);
@@ -365,7 +414,7 @@
                 // A stream that had or will have its answer gets no other.
                 client.reply(if asked && new { stream } else { 0 }, frame::FAILED)?;
                 client.blame()?;
-                if client.deaf {
+                if client.muted {
                     return Ok(client.link.readable);
                 }
             }
@@ -407,17 +456,26 @@
         self.settle(number, done, now, poll);
     }
 
-    /// After each step with a connection: ends it if it failed or is done, and notes whether it is stuck.
+    /// After each step with a connection: the one place that ends one in good order, once all is written, and that
+    /// notes whether one is stuck. Our side is shut first, and what still comes is dropped to the peer's end.
     fn settle(&mut self, number: u64, done: io::Result<()>, now: Micros, poll: &Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
-        let done = done.and_then(|()| client.link.flush());
-        let over = (client.deaf || self.parting) && client.idle();
-        if done.is_err() || (over && (client.ended || !client.deaf)) {
+        if done.and_then(|()| client.link.flush()).is_err() {
             return self.drop(number, poll);
         }
-        if over && client.drains.is_none() {
-            client.drains = Some(now + DRAIN);
-            client.link.shut();
+        if (client.muted || self.closing) && client.idle() {
+            if client.draining.is_none() {
+                client.muted = true;
+                client.unfinished = None;
+                client.link.inbound.clear();
+                client.link.shut();
+                client.draining = Some(now + DRAIN);
+                self.draining.insert((now + DRAIN, number));
+            }
+            if client.half_closed {
+                self.drop(number, poll);
+            }
+            return;
         }
         client.stuck = match client.stuck {
             _ if client.link.outbound.is_empty() => None,
@@ -426,9 +484,12 @@
         };
     }
 
-    /// Ends a connection; what it still had open has left.
+    /// Closes a connection; what it still had open has left.
     pub fn drop(&mut self, number: u64, poll: &Poll) {
         let Some(client) = self.conns.remove(&number) else { return };
+        if let Some(until) = client.draining {
+            self.draining.remove(&(until, number));
+        }
         self.heard.extend(client.open.iter().map(|(_, lookup)| Heard::Left { lookup: *lookup }));
         client.link.close(poll);
     }
@@ -440,7 +501,7 @@
         let numbers: Vec<u64> = self.conns.keys().copied().collect();
         for number in numbers {
             let Some(client) = self.conns.get_mut(&number) else { continue };
-            if client.drains.is_some_and(|until| until <= now) {
+            if client.draining.is_some_and(|until| until <= now) {
                 self.drop(number, poll);
             } else if let Some((_, before)) = client.stuck.filter(|s| s.0 + self.patience <= now) {
                 let written = client.link.written;
@@ -448,25 +509,30 @@
                 if before == written {
                     self.drop(number, poll);
                 }
-            } else if client.deaf {
+            } else if client.muted {
                 continue;
             } else if client.unfinished.is_some_and(|since| since + UNFINISHED <= now) {
                 self.heard.push(Heard::Bad { client: number, fault: frame::Fault::Unfinished });
-                let done = client.deafen();
+                let done = client.stop_hearing();
                 self.settle(number, done, now, poll);
             } else if client.idle() && client.used_at + IDLE <= now {
-                self.let_go(number, now, poll);
+                self.close_idle(number, now, poll);
             }
         }
     }
 
-    /// Asks for no new lookups, and ends what has none open; the others end with their last answer.
-    pub fn part(&mut self, now: Micros, poll: &Poll) {
-        self.parting = true;
+    /// The front is ending: takes up what has come so far, asks for no more, and ends what has nothing open; the others end
+    /// with their last answer.
+    pub fn shut_down(&mut self, now: Micros, poll: &mut Poll) {
         let numbers: Vec<u64> = self.conns.keys().copied().collect();
+        for &number in &numbers {
+            // Asked before the word that nothing more is taken: owed an answer, also where the loop was not told yet.
+            self.handle(number, Readiness { readable: true, writable: false, error: false }, now, poll);
+        }
+        self.closing = true;
         for number in numbers {
             let Some(client) = self.conns.get_mut(&number) else { continue };
-            let done = if client.deaf { Ok(()) } else { client.no_more() };
+            let done = if client.muted { Ok(()) } else { client.no_more() };
             self.settle(number, done, now, poll);
         }
     }
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -374,7 +374,9 @@
     /// Rule 2: only what never left as a whole is known not to have run.
     pub fn ending(&self) -> Ending {
         match (self.reach, &self.cause) {
-            (Reach::Unsent, _) => Ending::Moot,
+            (Reach::Unsent, _) | (Reach::Unconnected | Reach::PartlyWritten, Cause::Withdrawn) => {
+                Ending::Moot
+            }
             (_, Cause::Withdrawn) => Ending::Cancelled,
             (Reach::Unconnected | Reach::PartlyWritten, _) => Ending::Unconnected,
             (_, Cause::TimeUp) => Ending::TimedOut,
@@ -429,5 +431,6 @@
         assert_eq!(ending(Reach::Written, Cause::TimeUp), Ending::TimedOut);
         assert_eq!(ending(Reach::Answering, Cause::Answer(http::Fault::NoLength)), Ending::Error);
         assert_eq!(ending(Reach::Written, Cause::Withdrawn), Ending::Cancelled);
+        assert_eq!(ending(Reach::Unconnected, Cause::Withdrawn), Ending::Moot);
     }
 }
--- /dev/null
+++ b/crates/front/tests/closing.rs
@@ -0,0 +1,198 @@
+//! How the front closes: it says so, writes all, shuts its side and reads on to the peer's end, so that no byte that
+//! crosses the close becomes a reset that takes a written answer with it; and what it owes at its own end.
+
+use meadowrill_standins::*;
+use serde_json::json;
+use std::io::{ErrorKind, Read, Write};
+use std::net::Shutdown;
+use std::thread;
+use std::time::Duration;
+
+const NO_MORE: u8 = 90;
+
+/// All that has come, which stays to be read, is so many bytes.
+fn waits_unread(client: &Client, bytes: usize) {
+    let mut seen = vec![0; bytes + 1];
+    let end = std::time::Instant::now() + HANG;
+    while client.0.peek(&mut seen).unwrap() < bytes {
+        assert!(std::time::Instant::now() < end, "never came");
+        thread::yield_now();
+    }
+}
+
+/// What is written behind the front's close is taken up: the client reads on to an end, not to a reset.
+fn crosses_a_close(client: &mut Client, stream: u32) {
+    client.0.write_all(&ask(stream, "map", &[], b"")).unwrap();
+    client.0.shutdown(Shutdown::Write).unwrap();
+    match client.0.read(&mut [0; 64]) {
+        Ok(0) => {}
+        Err(e) if e.kind() == ErrorKind::ConnectionReset => panic!("reset"),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn came(cache: &Cache, id: u32) -> bool {
+    let id = format!("X-Req: {id:016x}");
+    cache.seen.try_iter().any(|seen| matches!(seen, Seen::Request(_, head, _) if head.contains(&id)))
+}
+
+#[test]
+fn a_request_on_a_resting_connection_that_the_end_closes_is_neither_reset_nor_sent_on() {
+    let cache = Cache::start(ok(b"fine"));
+    let (mut program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    assert_eq!(client.lookup(1, "map").code(), 0);
+    program.terminate();
+    // It rests until the front ends it.
+    assert_eq!(client.answer().kind, NO_MORE);
+    assert_eq!(client.hear(), None);
+    crosses_a_close(&mut client, 77);
+    assert!(program.ends_within(HANG));
+    assert!(!came(&cache, 77));
+}
+
+#[test]
+fn an_answer_that_was_not_read_yet_survives_what_crosses_the_close_behind_it() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    assert_eq!(client.ready(), 0);
+    program.terminate();
+    client.write(&ask(1, "map", &[], b""));
+    // Head, code, count of fields, four bytes; then the frame without a payload that tells of the close.
+    waits_unread(&client, 9 + 2 + 4 + 9);
+    client.write(&ask(77, "map", &[], b""));
+    let answer = client.answer();
+    assert_eq!((answer.stream, answer.code(), answer.parts().1), (1, 0, &b"fine"[..]));
+    assert_eq!(client.answer().kind, NO_MORE);
+    assert_eq!(client.hear(), None);
+    crosses_a_close(&mut client, 78);
+    assert!(!came(&cache, 77));
+}
+
+#[test]
+fn whoever_makes_room_at_the_ceiling_is_not_reset_either() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["sockets"] = json!(64);
+    let program = Program::start(&config);
+    let mut first = Client::new(&program);
+    assert_eq!(first.lookup(1, "map").code(), 0);
+    // The others keep busy, so the first is the one of least use.
+    let mut others: Vec<Client> = Vec::new();
+    let told = loop {
+        let mut other = Client::new(&program);
+        other.write(&frame(80, 0, &[0]));
+        others.push(other);
+        assert!(others.len() < 64, "everybody found room");
+        first.0.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        let mut head = [0; 9];
+        match first.0.read(&mut head) {
+            Ok(9) => break head,
+            Ok(n) => panic!("{n} bytes"),
+            Err(_) => others.iter_mut().for_each(|other| other.write(&frame(80, 0, &[0]))),
+        }
+    };
+    assert_eq!(told[4], NO_MORE);
+    first.0.set_read_timeout(Some(HANG)).unwrap();
+    assert_eq!(first.hear(), None);
+    crosses_a_close(&mut first, 77);
+    assert!(!came(&cache, 77));
+    let open = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+    assert!(open <= 64, "{open} descriptors");
+}
+
+#[test]
+fn those_who_do_not_end_their_side_are_not_waited_for_for_ever() {
+    let cache = Cache::start(ok(b"fine"));
+    let (mut program, _journal) = Program::simple(&cache);
+    let mut held: Vec<Client> = (0..8).map(|_| Client::new(&program)).collect();
+    for client in &mut held {
+        assert_eq!(client.lookup(1, "map").code(), 0);
+    }
+    program.terminate();
+    // All are told, none closes; some go on writing.
+    for client in &mut held {
+        assert_eq!(client.answer().kind, NO_MORE);
+        assert_eq!(client.hear(), None);
+        let _ = client.0.write_all(&frame(80, 0, &[0]).repeat(50));
+    }
+    assert!(program.ends_within(Duration::from_secs(5)));
+}
+
+#[test]
+fn what_is_asked_behind_the_word_that_nothing_more_is_taken_is_refused_once() {
+    let cache = Cache::start(Does::Nothing);
+    let (mut program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("limit", "2500")], b""));
+    cache.request();
+    program.terminate();
+    assert_eq!(client.answer().kind, NO_MORE);
+    cache.does(ok(b"late"));
+    // The connection stands, as an answer is owed on it; what is new there finds no service, but an answer.
+    let answer = client.lookup(2, "map");
+    assert_eq!((answer.stream, answer.code()), (2, 11));
+    assert!(!came(&cache, 2));
+    let last = client.answer();
+    assert_eq!((last.stream, last.code()), (1, 11));
+    assert_eq!(client.hear(), None);
+    drop(client);
+    assert!(program.ends_within(HANG));
+}
+
+#[test]
+fn the_end_comes_whatever_hangs_and_however_often_it_is_told() {
+    let cache = Cache::start(ok(&vec![9; 240_000]));
+    // The journal service is out of touch all the while.
+    let nowhere = Peer::listen().address;
+    let mut program = Program::start(&config(&[("s-a", cache.address)], nowhere));
+    let mut deaf = Client::slow(&program);
+    for stream in 1..=8 {
+        deaf.write(&ask(stream, "map", &[], b""));
+        cache.request();
+    }
+    cache.does(Does::Nothing);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("limit", "1500")], b""));
+    client.write(&ask(2, "order", &[("limit", "1500")], b""));
+    cache.request();
+    cache.request();
+    // A reload and the end in one round, then the end again.
+    program.pause();
+    program.signal("-HUP");
+    program.terminate();
+    program.resume();
+    program.terminate();
+    let mut codes: Vec<_> =
+        std::iter::from_fn(|| client.hear()).filter(|f| f.kind == 66).map(|f| (f.stream, f.code())).collect();
+    codes.sort_unstable();
+    assert_eq!(codes, [(1, 11), (2, 5)]);
+    drop(client);
+    // Whoever never reads holds it up no longer than the bound.
+    assert!(program.ends_within(Duration::from_secs(8)));
+    drop(deaf);
+}
+
+#[test]
+fn restarts_are_ready_at_once_also_with_many_machines_and_no_journal_service() {
+    let cache = Cache::start(ok(b"fine"));
+    let nowhere = Peer::listen().address;
+    let names: Vec<String> = (0..200).map(|n| format!("s-{n:03}")).collect();
+    let caches: Vec<_> = names.iter().map(|name| (name.as_str(), cache.address)).collect();
+    let config = config(&caches, nowhere);
+    for round in 0..10 {
+        let start = now_ms();
+        let mut program = Program::start(&config);
+        let mut client = Client::new(&program);
+        assert_eq!(client.ready(), 0);
+        assert!(now_ms() - start < 5000, "start {round}");
+        assert_eq!(client.lookup(1, "map").code(), 0);
+        if round % 2 == 0 {
+            program.terminate();
+            drop(client);
+            assert!(program.ends_within(HANG));
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/tests/leaving.rs
@@ -0,0 +1,167 @@
+//! Clients that leave: whoever has closed or cancelled has gone, and nothing is begun for them any more, wherever
+//! their lookup is just then. Crossings are forced by order: the peers are stepped by the test.
+
+use meadowrill_standins::*;
+use serde_json::json;
+use std::net::Shutdown;
+use std::time::Duration;
+
+/// Whether a request with this id has come to a cache so far.
+fn came(cache: &Cache, id: u32) -> bool {
+    let id = format!("X-Req: {id:016x}");
+    cache.seen.try_iter().any(|seen| matches!(seen, Seen::Request(_, head, _) if head.contains(&id)))
+}
+
+#[test]
+fn no_further_attempt_begins_for_a_client_that_has_closed() {
+    let (first, second) = (Peer::listen(), Peer::listen());
+    let journal = Journal::start();
+    let program =
+        Program::start(&config(&[("s-a", first.address), ("s-b", second.address)], journal.address));
+    let (mut client, mut other) = (Client::new(&program), Client::new(&program));
+    client.write(&ask(1, "map", &[], b""));
+    let (mut talk, next) = match first.accept_within(HANG / 100) {
+        Some(talk) => (talk, &second),
+        None => (second.accept(), &first),
+    };
+    assert!(talk.request().contains("X-Req: 0000000000000001"));
+    drop(client);
+    // The end of its stream has been read once this is answered.
+    assert_eq!(other.ready(), 0);
+    talk.reset();
+    // The round that saw the reset is over once the second of these is answered.
+    assert_eq!((other.ready(), other.ready()), (0, 0));
+    assert!(next.accept_within(Duration::ZERO).is_none(), "a further attempt");
+    // Not so for one that stays.
+    client_that_stays(&program, &first, &second);
+}
+
+fn client_that_stays(program: &Program, first: &Peer, second: &Peer) {
+    let mut client = Client::new(program);
+    client.write(&ask(2, "map", &[], b""));
+    let (mut talk, next) = match first.accept_within(HANG / 100) {
+        Some(talk) => (talk, second),
+        None => (second.accept(), first),
+    };
+    assert!(talk.request().contains("X-Req: 0000000000000002"));
+    talk.reset();
+    let mut talk = next.accept();
+    assert!(talk.request().contains("X-Req: 0000000000000002"));
+    talk.ok("fine");
+    assert_eq!(client.answer().code(), 0);
+}
+
+#[test]
+fn a_client_that_only_ends_its_side_hears_what_was_out_for_it_and_no_more_begins() {
+    let peer = Peer::listen();
+    let journal = Journal::start();
+    let program = Program::start(&config(&[("s-a", peer.address)], journal.address));
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[], b""));
+    let mut talk = peer.accept();
+    talk.request();
+    client.0.shutdown(Shutdown::Write).unwrap();
+    // Told at once that nothing more is read from it: one that has closed as a whole answers this with a reset.
+    assert_eq!(client.answer().kind, 90);
+    talk.ok("fine");
+    let answer = client.answer();
+    assert_eq!((answer.kind, answer.stream, answer.code()), (66, 1, 0));
+    assert_eq!(client.hear(), None);
+}
+
+#[test]
+fn a_client_that_has_closed_as_a_whole_takes_its_sends_along() {
+    let cache = Cache::start(Does::Nothing);
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("limit", "3000")], b""));
+    let (number, ..) = cache.request();
+    let start = now_ms();
+    drop(client);
+    cache.end(number);
+    assert!(now_ms() - start < 2000, "only its time ended it");
+}
+
+#[test]
+fn what_waits_for_a_connection_to_come_up_ends_with_its_client() {
+    for cancels in [true, false] {
+        let mut peer = Peer::listen();
+        let journal = Journal::start();
+        let mut config = config(&[("s-a", peer.address)], journal.address);
+        config["settings"]["limits"]["connect_timeout_s"] = json!(5.0);
+        // Also where nothing that is out may be called back: this is not out yet.
+        config["settings"]["limits"]["cancel"] = json!(false);
+        peer.crowd();
+        let program = Program::start(&config);
+        let (mut client, mut other) = (Client::new(&program), Client::new(&program));
+        client.write(&ask(1, "order", &[], b""));
+        assert_eq!(client.ready(), 0);
+        if cancels {
+            client.write(&frame(67, 1, &[]));
+            assert_eq!(client.ready(), 0);
+        } else {
+            client.0.shutdown(Shutdown::Write).unwrap();
+            assert_eq!(client.answer().kind, 90);
+            // Nothing of it ran, so to try again is harmless: told at once.
+            let answer = client.answer();
+            assert_eq!((answer.kind, answer.stream, answer.code()), (66, 1, 11));
+        }
+        other.write(&ask(2, "map", &[], b""));
+        peer.admit();
+        // Whatever comes up, only the other's is written.
+        let mut talk = peer.accept();
+        let head = talk.request();
+        let head = if head.is_empty() { peer.accept().request() } else { head };
+        assert!(head.contains("X-Req: 0000000000000002"), "{head}");
+    }
+}
+
+#[test]
+fn requests_behind_a_turn_are_not_begun_for_a_client_that_has_ended() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    assert_eq!(client.ready(), 0);
+    // More frames than are dealt with in a round, a request behind them, then the end: all is there at once.
+    program.pause();
+    client.write(&frame(80, 0, &[0]).repeat(200));
+    client.write(&ask(1, "map", &[], b""));
+    client.0.shutdown(Shutdown::Write).unwrap();
+    program.resume();
+    let answers: Vec<Frame> = std::iter::from_fn(|| client.hear()).collect();
+    assert_eq!(answers.iter().filter(|a| a.kind == 81).count(), 200);
+    let lookups: Vec<_> = answers.iter().filter(|a| a.kind == 66).map(|a| (a.stream, a.code())).collect();
+    assert_eq!(lookups, [(1, 11)]);
+    assert!(!came(&cache, 1));
+}
+
+#[test]
+fn a_request_that_comes_with_the_end_of_its_client_is_refused_and_not_begun() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    assert_eq!(client.ready(), 0);
+    program.pause();
+    client.write(&[ask(1, "map", &[], b""), ask(2, "order", &[], b"")].concat());
+    client.0.shutdown(Shutdown::Write).unwrap();
+    program.resume();
+    let rest: Vec<_> = std::iter::from_fn(|| client.hear()).filter(|f| f.kind == 66).collect();
+    assert_eq!(rest.iter().map(|a| (a.stream, a.code())).collect::<Vec<_>>(), [(1, 11), (2, 11)]);
+    assert!(!came(&cache, 1));
+}
+
+#[test]
+fn a_flood_that_goes_leaves_everybody_else_their_share() {
+    let cache = Cache::start(ok(b"fine"));
+    let (mut program, _journal) = Program::simple(&cache);
+    let mut other = Client::new(&program);
+    for _ in 0..20 {
+        let mut client = Client::new(&program);
+        // Cancels of nothing, and half a frame; some of it is met by the close.
+        let _ =
+            std::io::Write::write_all(&mut client.0, &[frame(67, 9, &[]).repeat(2000), vec![9, 0]].concat());
+        drop(client);
+    }
+    assert_eq!(other.lookup(1, "map").code(), 0);
+    assert!(program.alive());
+}
--- /dev/null
+++ b/crates/front/tests/pooled.rs
@@ -0,0 +1,195 @@
+//! Connections to caches: what comes, ends or changes while one is coming up, kept, or in the middle of an answer.
+
+use meadowrill_standins::*;
+use serde_json::{json, Value};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+fn patient(caches: &[(&str, SocketAddr)], journal: &Journal) -> Value {
+    let mut config = config(caches, journal.address);
+    // Longer than the kernel takes to try again to bring a connection up.
+    config["settings"]["limits"]["connect_timeout_s"] = json!(5.0);
+    config
+}
+
+fn tell(service: &mut TcpStream, pos: u64, members: Value) {
+    let line = json!({"pos": pos, "hosts": {"revision": pos, "complete": false, "members": members}});
+    service.write_all(format!("{line}\n").as_bytes()).unwrap();
+}
+
+/// What was told has been taken in once a purge behind it shows in a lookup at a machine of its own.
+fn taken_in(service: &mut TcpStream, pos: u64) {
+    service.write_all(format!("{pos}\n").as_bytes()).unwrap();
+}
+
+#[test]
+fn what_waits_for_a_connection_is_not_written_to_a_machine_that_drains_by_then() {
+    let (mut first, second) = (Peer::listen(), Peer::listen());
+    let journal = Journal::start();
+    let program = Program::start(&patient(&[("s-a", first.address)], &journal));
+    let (_, mut service) = journal.greeting();
+    first.crowd();
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "order", &[], b""));
+    assert_eq!(client.ready(), 0);
+    let next = member("s-b", "std", second.address, "SERVING");
+    tell(&mut service, 2, json!([member("s-a", "std", first.address, "DRAINING"), next]));
+    taken_in(&mut service, 2);
+    // Once another lookup goes to the new machine, the list has been taken in.
+    let mut other = Client::new(&program);
+    let mut stream = 10;
+    let mut talk = loop {
+        other.write(&ask(stream, "map", &[("slice", &stream.to_string())], b""));
+        if let Some(talk) = second.accept_within(Duration::from_millis(100)) {
+            break talk;
+        }
+        stream += 1;
+        assert!(stream < 40, "the list is not followed");
+    };
+    assert!(talk.request().contains("GET /data/map/"));
+    first.admit();
+    // It comes up, and nothing is written on it: the lookup goes where it may.
+    assert_eq!(first.accept().request(), "");
+    let mut head = talk.stream.peer_addr().map(|_| second.accept().request()).unwrap();
+    while !head.contains("X-Req: 0000000000000001") {
+        assert!(!head.is_empty());
+        head = second.accept().request();
+    }
+}
+
+#[test]
+fn what_waits_for_a_connection_carries_the_bound_of_a_purge_told_meanwhile() {
+    let mut peer = Peer::listen();
+    let journal = Journal::start();
+    let program = Program::start(&patient(&[("s-a", peer.address)], &journal));
+    let (_, mut service) = journal.greeting();
+    peer.crowd();
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[], b""));
+    assert_eq!(client.ready(), 0);
+    let stamp = now_ms() as u64;
+    let purge = json!({"pos": 2, "expire": {"name": OBJECT, "stamp": stamp}});
+    // A number that runs ahead makes the front ask again: by then it has read the purge.
+    service.write_all(format!("{purge}\n9\n").as_bytes()).unwrap();
+    assert_eq!(journal.greeting().0, "tail 2\n");
+    peer.admit();
+    let mut talk = peer.accept();
+    let mut head = talk.request();
+    if head.is_empty() {
+        head = peer.accept().request();
+    }
+    let oldest: u64 = header(&head, "Oldest-Ms").expect("a bound").parse().unwrap();
+    assert!((1..=now_ms() as u64 - stamp).contains(&oldest), "{head}");
+}
+
+#[test]
+fn a_repeat_whose_window_ends_before_its_connection_is_up_is_not_written() {
+    let (mut first, mut second) = (Peer::listen(), Peer::listen());
+    let journal = Journal::start();
+    let mut config = patient(&[("s-a", first.address), ("s-b", second.address)], &journal);
+    config["settings"]["classes"][2]["key_ttl_s"] = json!(0.4);
+    let program = Program::start(&config);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "book", &[("unique", "5c0f6e1a2b3d4c59")], b""));
+    let (talk, next) = match first.accept_within(Duration::from_millis(200)) {
+        Some(talk) => (talk, &mut second),
+        None => (second.accept(), &mut first),
+    };
+    let mut talk = talk;
+    assert!(talk.request().contains("Idempotency-Key"));
+    next.crowd();
+    // It may have run; the repeat waits for a connection that comes up a second later.
+    talk.reset();
+    assert_eq!(client.ready(), 0);
+    next.admit();
+    if let Some(mut talk) = next.accept_within(Duration::from_secs(3)) {
+        assert_eq!(talk.request(), "");
+    }
+    // Within its window its own marks make a further try of the client harmless.
+    let answer = client.answer();
+    assert_eq!((answer.stream, answer.code()), (1, 11));
+}
+
+#[test]
+fn half_a_line_in_the_instant_of_reuse_is_nobodys_answer() {
+    let peer = Peer::listen();
+    let journal = Journal::start();
+    let program = Program::start(&patient(&[("s-a", peer.address)], &journal));
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "order", &[], b""));
+    let mut talk = peer.accept();
+    talk.request();
+    talk.ok("one");
+    assert_eq!(client.answer().code(), 0);
+    // Half a line and the next request are found in one round.
+    program.pause();
+    talk.write("HTTP/1.1 200 O");
+    client.write(&ask(2, "order", &[], b""));
+    program.resume();
+    // Not on that connection: it is not clean.
+    let mut next = peer.accept();
+    assert!(next.request().contains("X-Req: 0000000000000002"));
+    next.ok("two");
+    let answer = client.answer();
+    assert_eq!((answer.code(), answer.parts().1), (0, &b"two"[..]));
+    assert_eq!(talk.request(), "");
+}
+
+#[test]
+fn an_end_in_the_instant_of_reuse_sends_the_next_elsewhere() {
+    let peer = Peer::listen();
+    let journal = Journal::start();
+    let program = Program::start(&patient(&[("s-a", peer.address)], &journal));
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "order", &[], b""));
+    let mut talk = peer.accept();
+    talk.request();
+    talk.ok("one");
+    assert_eq!(client.answer().code(), 0);
+    program.pause();
+    drop(talk);
+    client.write(&ask(2, "order", &[], b""));
+    program.resume();
+    let mut next = peer.accept();
+    next.request();
+    next.ok("two");
+    assert_eq!(client.answer().code(), 0);
+}
+
+#[test]
+fn an_answer_that_trickles_or_never_ends_is_a_fault_of_that_send_alone() {
+    let peer = Peer::listen();
+    let journal = Journal::start();
+    let program = Program::start(&patient(&[("s-a", peer.address)], &journal));
+    let (mut client, mut other) = (Client::new(&program), Client::new(&program));
+    client.write(&ask(1, "order", &[("limit", "600")], b""));
+    let mut talk = peer.accept();
+    talk.request();
+    talk.write("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+    let trickle = std::thread::spawn(move || while talk.stream.write_all(b"x").is_ok() {});
+    // The other is served meanwhile.
+    other.write(&ask(2, "map", &[], b""));
+    let mut next = peer.accept();
+    next.request();
+    next.ok("fine");
+    assert_eq!(other.answer().code(), 0);
+    assert_eq!(client.answer().code(), 5);
+    // The front has closed it.
+    trickle.join().unwrap();
+}
+
+#[test]
+fn a_connection_that_is_reset_after_a_part_of_a_request_proves_that_nothing_ran() {
+    // The kernel takes little at this machine, so the body does not leave as a whole.
+    let peer = Peer::listen();
+    let journal = Journal::start();
+    let program = Program::start(&patient(&[("s-a", peer.address)], &journal));
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "order", &[], b""));
+    let mut talk = peer.accept();
+    talk.request();
+    // After it went as a whole, there is none.
+    talk.reset();
+    assert_eq!(client.answer().code(), 5);
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod demo;
 pub mod journal;
 pub mod load;
+pub mod peer;
 pub mod program;
 pub mod service;
 
 pub use cache::{header, ok, says, Cache, Does, Seen};
 pub use client::{ask, fields, frame, Client, Frame};
 pub use journal::Journal;
+pub use peer::{Peer, Talk};
 pub use program::{config, member, Program, Site};
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -1,13 +1,13 @@
 //! The program as a child, with a configuration as the platform writes it.
 
-use crate::{Cache, Journal};
+use crate::{Cache, Journal, HANG};
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The program, beside whatever was built with it and runs now.
 pub fn binary() -> PathBuf {
@@ -17,6 +17,9 @@
     beside.join("meadowrill")
 }
 
+/// How often a child is looked at that is to end.
+const LOOK: Duration = Duration::from_millis(5);
+
 /// How long the origin drops repeats of a mark.
 pub const KEY_TTL: Duration = Duration::from_secs(3);
 
@@ -169,6 +172,36 @@
         assert!(status.success());
     }
 
+    /// Held still until it is resumed: what peers do meanwhile is found all at once, in one round.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let held = || std::fs::read_to_string(&stat).unwrap().rsplit(") ").next().unwrap().starts_with('T');
+        let end = Instant::now() + HANG;
+        while !held() {
+            assert!(Instant::now() < end, "still running");
+            thread::yield_now();
+        }
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
+    /// Whether it ends in good order within `most`.
+    pub fn ends_within(&mut self, most: Duration) -> bool {
+        let end = Instant::now() + most;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.success();
+            }
+            if Instant::now() > end {
+                return false;
+            }
+            thread::sleep(LOOK);
+        }
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
--- a/crates/turns/src/door.rs
+++ b/crates/turns/src/door.rs
@@ -496,6 +496,11 @@
         true
     }
 
+    /// Whether it was not let in yet.
+    pub fn waits(&self, ticket: &Ticket) -> bool {
+        self.entries.get(ticket.0).is_some_and(|entry| entry.entered.is_none())
+    }
+
     /// All that is to be done now: whose wait is over either way.
     pub fn turns(&mut self, now: Micros, out: &mut Vec<Turn>) {
         let now = self.at(now);
