--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -47,6 +47,8 @@
 const DRAGS: f64 = 4.0;
 /// A machine that so many sends in a row have not reached is held to be lost.
 const LOST: u32 = 3;
+/// Whatever is told to the fronts counts as told after so long, whether or not it arrived (protocol page).
+const TOLD_BY: Micros = 7 * SEC;
 /// Time between trials, whatever the traffic: a trial costs a lookup.
 const TRIAL_REST: Micros = 2 * SEC;
 /// Good answers in a row that are counted; each halves the time to the next trial.
@@ -396,6 +398,9 @@
     lengths: Memory<u64, u32>,
     asked: Memory<(u64, u32), bool>,
     purged: Memory<(Option<u64>, u32), Micros>,
+    /// A purge was ever heard of; and since when more of them may have been kept back.
+    purges: bool,
+    behind: Option<Micros>,
     /// Share of sends that a source had to fill.
     filled: Smooth,
     /// Fills held to be out.
@@ -475,12 +480,18 @@
         self.purged.get(now, (Some(lk.object), 0)).max(self.purged.get(now, (None, lk.group)))
     }
 
+    /// Out of touch for longer than news may take, any object may have been purged between then and the last moment
+    /// of which news would count as told. Only where there are purges: it costs each hit of an older copy.
+    fn kept_back(&self, now: Micros) -> Option<Micros> {
+        self.behind.filter(|since| self.purges && now > since + TOLD_BY).map(|_| now - TOLD_BY)
+    }
+
     /// Rule 5: how old a copy may be, 0 for any that the kind allows.
     fn age(&self, lk: &Lookup, now: Micros, grace: Micros) -> Micros {
         let kind = &self.kinds[lk.kind];
         let most = (kind.fresh > 0).then_some(kind.fresh + grace);
         // 0 would mean the default.
-        let since = self.purge(lk, now).map(|at| (now - at).max(1));
+        let since = self.purge(lk, now).max(self.kept_back(now)).map(|at| (now - at).max(1));
         since.into_iter().chain(most).min().unwrap_or(0)
     }
 
@@ -988,6 +999,8 @@
             asked: Memory::new(REPEAT_WINDOW, MEMORY),
             // A second more than told: a fill that began before may still bring an old copy.
             purged: Memory::new(rules.span("specifics.purge_settles_s", 10.0) + SEC, MEMORY),
+            purges: false,
+            behind: None,
             filled: Smooth::at(FILLED),
             fills: Gate::new(STEP_UP_FILLS, 0.0),
             fetches: Gate::new(STEP_UP_FETCHES, least),
@@ -1018,7 +1031,9 @@
                 let name = (object, if object.is_some() { 0 } else { group });
                 let last = desk.purged.get(now, name).unwrap_or(Micros::MIN);
                 desk.purged.put(now, name, last.max(now - ago));
+                desk.purges = true;
             }
+            Event::OutOfTouch { since } => desk.behind = since,
             Event::Recalled { object, highest } => {
                 let known = desk.lengths.get(room.now, object).unwrap_or(0);
                 desk.lengths.put(room.now, object, known.max(highest));
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -130,6 +130,10 @@
     Left {
         id: u32,
     },
+    /// Since when changes of the list and purges may have been kept back; none once all has been told again.
+    OutOfTouch {
+        since: Option<Micros>,
+    },
     /// The client has ended its side: nothing more is to begin for it, while what is out may still be of use.
     HalfClosed {
         id: u32,
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -262,8 +262,15 @@
             let class = told.get("classes").value.and_then(|classes| classes.get(at));
             let class = Node { value: class, path: format!("settings.classes.{at}") };
             let deadline_ms = class.get("deadline_s").number(LONGEST, 0.001)? * 1e3;
-            let keyed = class.get("repeat").value.is_some_and(|repeat| repeat == "keyed");
-            let effect = class.get("repeat").value.is_some_and(|repeat| repeat != "safe");
+            // What is told and not understood is no reason to guess: an effect might come twice.
+            let repeat = class.get("repeat");
+            let repeat = match repeat.value.map(|told| (told.as_str(), repeat.path)) {
+                None => None,
+                Some((Some(told @ ("safe" | "keyed" | "unsafe")), _)) => Some(told),
+                Some((_, path)) => return Err(faulty(path, "is neither safe, keyed nor unsafe")),
+            };
+            let keyed = repeat == Some("keyed");
+            let effect = repeat.is_some_and(|repeat| repeat != "safe");
             let all = class.get("group").value.is_some_and(|group| group == "all");
             let ttl = class.get("key_ttl_s").number(0.0, 0.0)?;
             let window = if keyed && all { door::micros(ttl) } else { 0 };
@@ -279,6 +286,7 @@
         let mut pairs = Vec::new();
         flatten(told.need()?, "", &mut pairs);
         let bounds = told.get("limits");
+        bounds.get("send_cap").number(1.0, 1.0)?;
         // Clients hold a third of the descriptors at most; a little more lets them cross a close.
         let clients = (sockets - SPARE) * 2 / 5;
         let kb_per_s = told.get("specifics").get("flow_kb_per_s").number(1.0, 0.0)?;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -78,6 +78,8 @@
     counts: Option<fn() -> String>,
     caches: Caches,
     journal: Journal,
+    /// Since when the journal service may have kept something back, as the decisions were told.
+    behind: Option<Micros>,
     machines: Indices<String>,
     /// With the text that requests carry.
     addresses: HashMap<PeerIx, (SocketAddr, CompactString)>,
@@ -141,6 +143,7 @@
             counts,
             caches: Caches::new(config.caches, config.conn_idle),
             journal: Journal::new(config.journal, last),
+            behind: None,
             machines: Indices::default(),
             addresses: HashMap::new(),
             lookups: HashMap::new(),
--- a/crates/front/src/front/list.rs
+++ b/crates/front/src/front/list.rs
@@ -24,10 +24,16 @@
     pub(super) fn follow(&mut self, now: Micros, step: impl FnOnce(&mut Journal, &mut Poll, &mut Vec<News>)) {
         let mut news = Vec::new();
         step(&mut self.journal, &mut self.poll, &mut news);
-        if news.is_empty() {
+        let any = !news.is_empty();
+        news.into_iter().for_each(|news| self.told(news, now));
+        // Behind what was told: until then what may have been kept back holds.
+        let since = self.journal.behind();
+        if since != std::mem::replace(&mut self.behind, since) {
+            self.events.push(Event::OutOfTouch { since });
+        }
+        if !any {
             return;
         }
-        news.into_iter().for_each(|news| self.told(news, now));
         // What is new to the other fronts goes to them at once.
         self.with_fronts(now, |_, _| {});
     }
--- a/crates/front/src/front/outcomes.rs
+++ b/crates/front/src/front/outcomes.rs
@@ -35,7 +35,7 @@
             *send = None;
         }
         let ending = match result {
-            Ok(head) => ending(head),
+            Ok(head) => ending(head, taken.request.seen.as_deref()),
             Err(fault) => fault.ending(),
         };
         let machine = self.machines.name(*peer);
--- a/crates/front/src/http.rs
+++ b/crates/front/src/http.rs
@@ -94,6 +94,8 @@
     /// Place of the note in the platform's order, from 1; 0 for none.
     pub note: usize,
     pub source_ms: Option<f64>,
+    /// The tag of the copy, as it was told.
+    pub version: Option<CompactString>,
     pub load: SmallVec<[(CompactString, f64); 4]>,
     /// Bytes of head and body.
     pub head: usize,
@@ -107,6 +109,12 @@
     pub fn interim(&self) -> bool {
         (100..200).contains(&self.status) && self.status != 101
     }
+
+    /// Whether it names the copy with this tag, quoted or bare.
+    pub fn names(&self, tag: &str) -> bool {
+        let bare = |text: &str| text.trim_start_matches("W/").trim_matches('"').to_owned();
+        self.version.as_ref().is_some_and(|version| bare(version) == bare(tag))
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -160,6 +168,8 @@
             answer.not_run = text == "1";
         } else if is("X-Cache") {
             answer.note = NOTES.iter().position(|n| *n == text).map_or(0, |at| at + 1);
+        } else if is("Version") {
+            answer.version = Some(CompactString::new(text));
         } else if is("Source-Ms") {
             answer.source_ms = text.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0);
         } else if is("X-Load") {
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -27,10 +27,12 @@
     pub serial: u64,
 }
 
-/// What an answer stands for.
-pub fn ending(head: &http::Answer) -> Ending {
+/// What an answer stands for, to a request that told of the copy with this tag.
+pub fn ending(head: &http::Answer, known: Option<&str>) -> Ending {
     match (head.status, head.not_run) {
-        (200 | 304, _) => Ending::Satisfied,
+        (200, _) => Ending::Satisfied,
+        // Without the copy named it may be another lookup's, come late: nobody said that this client's copy stands.
+        (304, _) if known.is_some_and(|tag| head.names(tag)) => Ending::Satisfied,
         (404, _) => Ending::Miss,
         (503, true) => Ending::TurnedAway,
         (504, true) => Ending::Moot,
--- a/crates/front/src/net/journal.rs
+++ b/crates/front/src/net/journal.rs
@@ -116,12 +116,25 @@
     tried_at: Micros,
     /// An outage is told once, not at every try.
     out: bool,
+    /// Since when not all may have been told: from the last word before an outage to the first that says that there is
+    /// nothing more.
+    behind: Option<Micros>,
 }
 
 impl Journal {
     pub fn new(address: SocketAddr, last: u64) -> Journal {
         let tried_at = Micros::MIN / 2;
-        Journal { address, link: None, last, missing: 0, up: false, heard_at: 0, tried_at, out: false }
+        Journal {
+            address,
+            link: None,
+            last,
+            missing: 0,
+            up: false,
+            heard_at: 0,
+            tried_at,
+            out: false,
+            behind: None,
+        }
     }
 
     /// Goes on at another address, from the last event had.
@@ -134,6 +147,11 @@
         }
     }
 
+    /// Since when not all may have been told, if so.
+    pub fn behind(&self) -> Option<Micros> {
+        self.behind
+    }
+
     /// Connects where there is no connection, and drops one that is silent. To be called now and then.
     pub fn keep_up(&mut self, now: Micros, poll: &mut Poll, news: &mut Vec<News>) {
         let patience = if self.up { SILENCE } else { COMING };
@@ -159,6 +177,8 @@
         if let Some((_, link)) = self.link.take() {
             link.close(poll);
         }
+        // Not from when it was noticed: what fell silent may have kept back all since its last word.
+        self.behind = self.behind.or(Some(self.heard_at));
         if !std::mem::replace(&mut self.out, true) {
             news.push(Err(format!("out of touch: {why}")));
         }
@@ -237,6 +257,9 @@
             self.missing += 1;
             return Err(io::Error::other(format!("something behind {} is missing", self.last)));
         }
+        if change.is_none() && pos == Some(self.last) {
+            self.behind = None;
+        }
         // Had before; told again it would put a list back.
         if pos.is_none_or(|pos| pos > self.last) {
             self.last = pos.unwrap_or(self.last);
--- /dev/null
+++ b/crates/front/tests/customers.rs
@@ -0,0 +1,128 @@
+//! Other customers' settings: the program starts with what it is told, whatever the names, and serves; what is faulty
+//! ends the start with the name of the key.
+
+use meadowrill_standins::*;
+use serde_json::{json, Value};
+
+type Change = fn(&mut Value);
+
+struct Customer {
+    name: &'static str,
+    /// What differs from the usual settings.
+    change: Change,
+    /// A class that is asked for, and one that may have an effect.
+    asks: &'static str,
+}
+
+fn classes(settings: &mut Value, names: &[(&str, &str)]) {
+    let class = |(name, repeat): &(&str, &str)| {
+        json!({"name": name, "repeat": repeat, "goal_time_s": 0.5, "deadline_s": 3.0, "aim_stretch": 2.0, "group": "all",
+            "key_ttl_s": 0.4, "worth": 1.0})
+    };
+    settings["classes"] = names.iter().map(class).collect();
+    let none = |value: Value| Value::from(vec![value; names.len()]);
+    settings["specifics"]["goes_through"] =
+        names.iter().map(|(_, repeat)| Value::from(*repeat != "safe")).collect();
+    settings["specifics"]["max_age_s"] = none(json!(0.0));
+    settings["specifics"]["stale_for_s"] = none(json!(0.0));
+}
+
+const CUSTOMERS: [Customer; 7] = [
+    Customer { name: "as usual", change: |_| {}, asks: "map" },
+    Customer {
+        name: "all classes renamed",
+        change: |config| {
+            classes(
+                &mut config["settings"],
+                &[("film", "safe"), ("press-start", "unsafe"), ("tally", "keyed")],
+            );
+        },
+        asks: "film",
+    },
+    Customer {
+        name: "one class only",
+        change: |config| classes(&mut config["settings"], &[("all-there-is", "safe")]),
+        asks: "all-there-is",
+    },
+    Customer {
+        name: "many classes",
+        change: |config| {
+            let names: Vec<String> = (0..40).map(|n| format!("c{n}")).collect();
+            let all: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "safe")).collect();
+            classes(&mut config["settings"], &all);
+        },
+        asks: "c39",
+    },
+    Customer {
+        name: "other zones and machines",
+        change: |config| {
+            let text = config.to_string().replace("\"east\"", "\"vault\"").replace("\"main\"", "\"hall\"");
+            let text = text.replace("\"std\"", "\"rack\"").replace("\"parent\"", "\"shelf\"");
+            *config = serde_json::from_str(&text).unwrap();
+        },
+        asks: "map",
+    },
+    Customer {
+        name: "keys that nobody knows",
+        change: |config| {
+            config["settings"]["more"] = json!({"deep": [1, {"er": null}], "list": []});
+            config["settings"]["classes"][0]["colour"] = json!("blue");
+            config["extra"] = json!(true);
+        },
+        asks: "map",
+    },
+    Customer {
+        name: "nothing that may be left out",
+        change: |config| {
+            let settings = config["settings"].as_object_mut().unwrap();
+            for key in ["balancers", "weight_kind", "feedback", "guarantees", "limits"] {
+                settings.remove(key);
+            }
+            settings["classes"][0] = json!({"name": "map", "repeat": "safe"});
+            for key in ["limits", "name"] {
+                config.as_object_mut().unwrap().remove(key);
+            }
+        },
+        asks: "map",
+    },
+];
+
+#[test]
+fn each_customer_is_served() {
+    for customer in CUSTOMERS {
+        let cache = Cache::start(ok(b"fine"));
+        let journal = Journal::start();
+        let mut config = config(&[("s-a", cache.address)], journal.address);
+        (customer.change)(&mut config);
+        let mut program = Program::start(&config);
+        let mut client = Client::new(&program);
+        let answer = client.lookup(1, customer.asks);
+        assert_eq!((answer.code(), answer.parts().1), (0, &b"fine"[..]), "{}", customer.name);
+        // What the settings do not name is nobody's class.
+        assert_eq!(client.lookup(2, "nobodys").code(), 5, "{}", customer.name);
+        drop(client);
+        program.terminate();
+        assert!(program.ends_within(HANG), "{}", customer.name);
+    }
+}
+
+#[test]
+fn what_is_faulty_ends_the_start_with_the_name_of_the_key() {
+    let faults: [(&str, Change); 9] = [
+        ("settings.classes", |c| c["settings"]["classes"] = json!([])),
+        ("settings.classes.1", |c| c["settings"]["classes"][1] = json!({"repeat": "safe"})),
+        ("settings.classes.0.deadline_s", |c| c["settings"]["classes"][0]["deadline_s"] = json!("soon")),
+        ("settings.classes.2.key_ttl_s", |c| c["settings"]["classes"][2]["key_ttl_s"] = json!(-1)),
+        ("settings.classes.0.repeat", |c| c["settings"]["classes"][0]["repeat"] = json!("perhaps")),
+        ("settings.limits.send_cap", |c| c["settings"]["limits"]["send_cap"] = json!(0)),
+        ("settings.specifics.flow_kb_per_s", |c| c["settings"]["specifics"]["flow_kb_per_s"] = json!(-5)),
+        ("known.entries", |c| c["known"] = json!({"pos": 1})),
+        ("limits.sockets", |c| c["limits"]["sockets"] = json!(8)),
+    ];
+    for (key, change) in faults {
+        let mut config = config(&[], "127.0.0.1:1".parse().unwrap());
+        change(&mut config);
+        let text = Program::refusal(&config);
+        assert!(text.contains(&format!("{key}: ")), "{key}: {text}");
+    }
+}
--- a/crates/front/tests/discovery.rs
+++ b/crates/front/tests/discovery.rs
@@ -106,3 +106,41 @@
     assert_eq!(service.accept().line(), "tail 3\n");
     assert_eq!(client.lookup(10_001, "order").code(), 11);
 }
+
+#[test]
+fn out_of_touch_for_longer_than_news_takes_copies_are_bounded_until_all_is_told_again() {
+    let cache = Cache::start(ok(b"fine"));
+    let service = Peer::listen();
+    let program = Program::start(&config(&[("s-a", cache.address)], service.address));
+    let mut talk = service.accept();
+    assert_eq!(talk.line(), "tail 1\n");
+    talk.write(&format!("{}\n2\n", json!({"pos": 2, "expire": {"set": 3, "stamp": now_ms() as u64}})));
+    let gone = now_ms();
+    drop(talk);
+    let mut client = Client::new(&program);
+    let mut streams = 1..100_000;
+    let mut oldest = || {
+        assert_eq!(client.lookup(streams.next().expect("a bound"), "map").code(), 0);
+        header(&cache.request().1, "Oldest-Ms").map(|ms| ms.parse::<u64>().unwrap())
+    };
+    let bound = loop {
+        while let Some(talk) = service.accept_within(Duration::from_millis(20)) {
+            drop(talk);
+        }
+        if let Some(bound) = oldest() {
+            break bound;
+        }
+        assert!(now_ms() - gone < 12_000, "never bounded");
+    };
+    assert!(now_ms() - gone > 6_900 && (6_900..=7_000).contains(&bound), "{bound}");
+    // In touch again, but not all told yet: an event, and only then the word that there is nothing more.
+    let mut talk = service.accept();
+    assert_eq!(talk.line(), "tail 2\n");
+    talk.write(&format!("{}\n", json!({"pos": 3, "expire": {"set": 4, "stamp": now_ms() as u64}})));
+    assert!(oldest().is_some());
+    talk.write("3\n");
+    let end = now_ms();
+    while oldest().is_some() {
+        assert!(now_ms() - end < 10_000, "still bounded");
+    }
+}
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -167,6 +167,25 @@
         (Program::start(&config(&[("s-a", cache.address)], journal.address)), journal)
     }
 
+    /// What one that cannot start says before it ends.
+    pub fn refusal(config: &Value) -> String {
+        let (mut command, _path) = Program::command(config);
+        let mut child = command.spawn().unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let (mut text, mut line) = (String::new(), String::new());
+        while log.read_line(&mut line).unwrap() > 0 {
+            text.push_str(&line);
+            if line.contains("listening") {
+                let _ = child.kill();
+                let _ = child.wait();
+                panic!("started: {text}");
+            }
+            line.clear();
+        }
+        assert!(!child.wait().unwrap().success(), "ended in good order: {text}");
+        text
+    }
+
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(status.success());
