--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 	cargo build --release --locked
 
 test:
-	cargo test --workspace --locked
+	cargo test --workspace --locked $(MORE)
 
 lint:
 	cargo fmt --all --check
