--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -38,7 +38,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Housekeeping: idle and stuck connections, the journal service.
+/// Housekeeping: idle and stalled connections, the journal service.
 const TICK: Micros = 250_000;
 /// How long after the signal to end connections and lookups may still come in (the platform says 0.6 s).
 const LINGER: Micros = 700_000;
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -77,7 +77,7 @@
     used_at: Micros,
     faults: u32,
     /// Since when what is written is not taken, and how much was by then.
-    stuck: Option<(Micros, u64)>,
+    stalled: Option<(Micros, u64)>,
 }
 
 impl Client {
@@ -273,7 +273,7 @@
     fn close_idle(&mut self, number: u64, now: Micros, poll: &mut Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
         let before = client.link.inbound.len();
-        if !client.muted && poll.look(&mut client.link).is_ok() && client.link.inbound.len() > before {
+        if !client.muted && poll.read_now(&mut client.link).is_ok() && client.link.inbound.len() > before {
             client.used_at = now;
             client.unfinished = client.unfinished.map(|_| now);
             self.more.insert(number);
@@ -310,7 +310,7 @@
             unfinished: Some(now),
             used_at: now,
             faults: 0,
-            stuck: None,
+            stalled: None,
         };
         self.conns.insert(number, client);
         Ok(())
@@ -457,7 +457,7 @@
     }
 
     /// After each step with a connection: the one place that ends one in good order, once all is written, and that
-    /// notes whether one is stuck. Our side is shut first, and what still comes is dropped to the peer's end.
+    /// notes whether one is stalled. Our side is shut first, and what still comes is dropped to the peer's end.
     fn settle(&mut self, number: u64, done: io::Result<()>, now: Micros, poll: &Poll) {
         let Some(client) = self.conns.get_mut(&number) else { return };
         if done.and_then(|()| client.link.flush()).is_err() {
@@ -477,10 +477,10 @@
             }
             return;
         }
-        client.stuck = match client.stuck {
+        client.stalled = match client.stalled {
             _ if client.link.outbound.is_empty() => None,
             None => Some((now, client.link.written)),
-            stuck => stuck,
+            stalled => stalled,
         };
     }
 
@@ -503,9 +503,9 @@
             let Some(client) = self.conns.get_mut(&number) else { continue };
             if client.draining.is_some_and(|until| until <= now) {
                 self.drop(number, poll);
-            } else if let Some((_, before)) = client.stuck.filter(|s| s.0 + self.patience <= now) {
+            } else if let Some((_, before)) = client.stalled.filter(|s| s.0 + self.patience <= now) {
                 let written = client.link.written;
-                client.stuck = Some((now, written));
+                client.stalled = Some((now, written));
                 if before == written {
                     self.drop(number, poll);
                 }
