--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -25,6 +25,9 @@
 /// Descriptors that belong to no connection: standard streams, listener, poller, signals, journal, log.
 const SPARE: usize = 24;
 
+/// Of clients' connections one in so many may drain beside those that are served.
+const DRAINING: usize = 8;
+
 #[derive(Debug, PartialEq, Eq)]
 pub struct Faulty {
     pub key: String,
@@ -85,8 +88,9 @@
     pub longest: Micros,
     /// The longest that a client may be told to stay away; 0 where it may be told nothing.
     pub longest_away: Micros,
-    /// Ceilings: connections of each side, lookups, bytes in rings.
+    /// Ceilings: connections of each side and of clients that drain, lookups, bytes in rings.
     pub clients: usize,
+    pub draining: usize,
     pub caches: usize,
     pub lookups: usize,
     pub buffers: usize,
@@ -289,6 +293,7 @@
         bounds.get("send_cap").number(1.0, 1.0)?;
         // Clients hold a third of the descriptors at most; a little more lets them cross a close.
         let clients = (sockets - SPARE) * 2 / 5;
+        let draining = (clients / DRAINING).max(1);
         let kb_per_s = told.get("specifics").get("flow_kb_per_s").number(1.0, 0.0)?;
         let bytes_per_s = root.get("flow_bytes_per_s").number((kb_per_s * 1e3).max(1.0), 1.0)?;
         let known = root.get("known");
@@ -324,7 +329,8 @@
             conn_idle: door::micros(bounds.get("conn_idle_s").number(CONN_IDLE, 0.0)?),
             longest: door::micros(longest / 1e3),
             clients,
-            caches: sockets - SPARE - clients,
+            draining,
+            caches: sockets - SPARE - clients - draining,
             lookups: bounds.get("max_open").number(MAX_OPEN, 1.0)? as usize,
             // The rest is for the module's memories, the allocator's slack and what a round moves.
             buffers: (memory * 0.4) as usize - ring::spare_bytes(frame::LONGEST),
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -133,7 +133,7 @@
             poll,
             listener: Some((listener, token)),
             pending_accept: true,
-            clients: Clients::new(config.clients, config.longest),
+            clients: Clients::new(config.clients, config.draining, config.longest),
             door: Door::new(config.own.turns.clone(), &kinds, bounds, config.seed, now),
             names: Names::new(&config.own.turns, config.seed),
             metrics: Metrics::default(),
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -27,8 +27,6 @@
 /// How long what still comes behind the shutdown of our side is read and dropped, if the peer does not end its own
 /// before: a close with bytes unread is a reset, in which the answers before it may be lost.
 pub const DRAIN: Micros = 1_000_000;
-/// Connections that drain may take so many descriptors beside those that are served: one for so many of these.
-const DRAINING: usize = 8;
 /// What is younger is not let go for want of room: its first bytes may still be on their way.
 const YOUNG: Micros = 100_000;
 
@@ -196,16 +194,10 @@
     spare: Spare,
 }
 
-/// Of so many descriptors, those for connections that drain.
-fn draining(most: usize) -> usize {
-    (most / DRAINING).max(1)
-}
-
 impl Clients {
-    /// For so many connections in all.
-    pub fn new(most: usize, patience: Micros) -> Clients {
+    /// For so many connections that are served, and so many more that drain.
+    pub fn new(most: usize, most_draining: usize, patience: Micros) -> Clients {
         let (conns, more, heard) = (BTreeMap::new(), BTreeSet::new(), Vec::new());
-        let (most, most_draining) = (most - draining(most), draining(most));
         Clients {
             conns,
             more,
