--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -18,7 +18,7 @@
 
 const SEC: Micros = 1_000_000;
 /// Tail drop factor, and how long the estimate of a length and the sight of a part last (design page).
-const NU: f64 = 0.9;
+const NU: f64 = 0.875;
 const LENGTH_LIFE: Micros = 300 * SEC;
 const REPEAT_WINDOW: Micros = 10 * SEC;
 /// From so many fronts a location on, a part met again at most so many back tells that many walk an object.
