--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,63 @@
+//! What the closed models of fleets share: settings, draws, and a queue of what comes next.
+
+use meadowrill_core::interface::{Micros, Settings};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// Those of the scenarios, with what differs.
+pub fn settings(more: &[(&str, String)]) -> Settings {
+    let path = format!("{}/tests/scenarios/base.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("base.txt");
+    let mut all = Settings::new();
+    for line in text.lines().filter_map(|line| line.strip_prefix("set ")) {
+        let (name, value) = line.split_once(' ').unwrap_or((line, ""));
+        all.insert(name.into(), value.trim().into());
+    }
+    all.extend(more.iter().map(|(name, value)| (name.to_string(), value.clone())));
+    all
+}
+
+/// The same from the same seed.
+pub struct Draws {
+    pub seed: u64,
+    pub drawn: u64,
+}
+
+impl Draws {
+    pub fn new(seed: u64) -> Draws {
+        Draws { seed, drawn: 0 }
+    }
+
+    /// From 0 up to, but not 1.
+    pub fn next(&mut self) -> f64 {
+        self.drawn += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.seed, self.drawn).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// In order of time, and of coming where that is the same.
+pub struct Queue<T> {
+    heap: BinaryHeap<Reverse<(Micros, u64, T)>>,
+    serial: u64,
+}
+
+impl<T: Ord> Queue<T> {
+    pub fn new() -> Queue<T> {
+        Queue { heap: BinaryHeap::new(), serial: 0 }
+    }
+
+    pub fn put(&mut self, at: Micros, next: T) {
+        self.serial += 1;
+        self.heap.push(Reverse((at, self.serial, next)));
+    }
+
+    /// The next that is due before `end`.
+    pub fn take(&mut self, end: Micros) -> Option<(Micros, T)> {
+        let due = self.heap.peek().is_some_and(|Reverse((at, ..))| *at < end);
+        let next = due.then(|| self.heap.pop()).flatten();
+        next.map(|Reverse((at, _, next))| (at, next))
+    }
+}
