The end of a client whose framing was lost is heard as any other's

Read in the code, then forced: a request, a frame that cannot be read, all answers read, a close. The connection only dropped what came (net/clients.rs read, the branch of `muted`), so its end told nobody, and when the cache reset the send a further attempt began elsewhere. Now both branches note the end in one place. The test fails with the mend taken out ("a further attempt").

--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -337,11 +337,8 @@
         if client.half_closed && !client.link.arrived()? {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        if client.muted {
-            client.half_closed |= poll.discard(&mut client.link)?;
-            return Ok(client.link.readable && !client.half_closed);
-        }
-        if !client.half_closed && poll.fill(&mut client.link)? {
+        let ended = if client.muted { poll.discard(&mut client.link)? } else { poll.fill(&mut client.link)? };
+        if ended && !client.half_closed {
             // Whoever has closed has gone; whoever only ended its side hears what is out. One that has closed answers
             // the word that nothing more is taken with a reset, and its sends end with it.
             client.half_closed = true;
@@ -350,6 +347,9 @@
                 client.no_more()?;
             }
         }
+        if client.muted {
+            return Ok(client.link.readable && !client.half_closed);
+        }
         for _ in 0..TURN {
             let read = match frame::next(client.link.inbound.whole()) {
                 Ok(None) => {
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -14,6 +14,13 @@
 
 #[test]
 fn no_further_attempt_begins_for_a_client_that_has_closed() {
+    // Also for one whose framing was lost, so that nothing more was read from it.
+    for framing_lost in [false, true] {
+        gone_for_good(framing_lost);
+    }
+}
+
+fn gone_for_good(framing_lost: bool) {
     let (first, second) = (Peer::listen(), Peer::listen());
     let journal = Journal::start();
     let program =
@@ -25,6 +32,11 @@
         None => (second.accept(), &first),
     };
     assert!(talk.request().contains("X-Req: 0000000000000001"));
+    if framing_lost {
+        client.write(&[255, 255, 255, 255]);
+        // All that is said to it is read, so that its close is no reset.
+        assert_eq!((client.answer().kind, client.answer().kind), (66, 90));
+    }
     drop(client);
     // The end of its stream has been read once this is answered.
     assert_eq!(other.ready(), 0);
