A machine held to be cold after silence is met from a moment of each front's own as well

Found by reading the change of the cold machines' parts once more: a machine that the list told of no start, but that nothing had reached (or that was heard again after long silence), had a level of long ago, so each front's first call fitted at once, now also that of fronts whose part of a window is below one call. The level begins anew there too. Scenario lost_small_fronts (300 fronts): one send from this front at once without it, none with it.

--- a/crates/core/src/control.rs
+++ b/crates/core/src/control.rs
@@ -241,7 +241,7 @@
                 if heard {
                     // Back after a long silence it may have started anew, unlisted yet: cold as well.
                     if self.card.owed >= OWED && now > self.card.owed_since + LONG_SILENT {
-                        self.since = now;
+                        (self.since, self.level, self.level_at) = (now, None, now);
                     }
                     (self.card.owed, self.card.lost) = (0, 0);
                 }
@@ -258,6 +258,9 @@
                         room.out.push(Action::Log(format!("{id:012x} unreached: held cold")));
                     }
                     self.since = now;
+                    if self.card.lost == LOST {
+                        (self.level, self.level_at) = (None, now);
+                    }
                 }
                 if let Some(pace) = pace {
                     self.card.pace.add(now, pace, SMOOTHING);
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -305,5 +305,5 @@
     emptied_caches full_link few_fronts on_its_way walked_together refusing_origin dragging_cache well_again
     shared_failures parent_copies send_cap failing_parent room_in_budget silent_cache no_sound_cache
     back_from_silence direct_copies restarted_front discovery replaced_machine bare_settings sizes_in_answers
-    partly_failing resets hanging_cache half_closed connected out_of_touch first_few odd_settings
+    partly_failing resets hanging_cache half_closed connected out_of_touch first_few odd_settings lost_small_fronts
 }
