A connection that makes room is read like any other before it is closed

close_idle looked once by a read of its own, which dropped the end of the stream that it met: what had been asked before that end would have been served for somebody who has gone, and a connection whose peer had closed drained for a second for nothing. Now it takes a turn at the connection as the loop does, and shutting down does the same. Found by reading; the instant between two lines cannot be forced from outside, so no test shows it: the tests of closes, of leaving and of the ceiling hold as before.

--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -30,6 +30,9 @@
 /// What is younger is not let go for want of room: its first bytes may still be on their way.
 const YOUNG: Micros = 100_000;
 
+/// As if the loop had told that something has come.
+const COME: Readiness = Readiness { readable: true, writable: false, error: false };
+
 pub enum Heard {
     Asked {
         lookup: u32,
@@ -263,12 +266,16 @@
 
     /// Closes a connection with nothing open, unless something has come on it that was not read yet.
     fn close_idle(&mut self, number: u64, now: Micros, poll: &mut Poll) {
-        let Some(client) = self.conns.get_mut(&number) else { return };
-        let before = client.link.inbound.len();
-        if !client.muted && poll.read_now(&mut client.link).is_ok() && client.link.inbound.len() > before {
+        let Some(client) = self.conns.get(&number) else { return };
+        let before = (client.used_at, client.link.inbound.len());
+        // What has come by now counts, its end too, also where the loop was not told yet.
+        self.handle(number, COME, now, poll);
+        let Some(client) = self.conns.get_mut(&number).filter(|client| client.draining.is_none()) else {
+            return;
+        };
+        if !client.idle() || (client.used_at, client.link.inbound.len()) != before {
             client.used_at = now;
             client.unfinished = client.unfinished.map(|_| now);
-            self.more.insert(number);
             return;
         }
         client.muted = true;
@@ -519,7 +526,7 @@
         let numbers: Vec<u64> = self.conns.keys().copied().collect();
         for &number in &numbers {
             // Asked before the word that nothing more is taken: owed an answer, also where the loop was not told yet.
-            self.handle(number, Readiness { readable: true, writable: false, error: false }, now, poll);
+            self.handle(number, COME, now, poll);
         }
         self.closing = true;
         for number in numbers {
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -212,12 +212,6 @@
         Ok(read == Some(0))
     }
 
-    /// The same where the loop may not have told yet that something has come.
-    pub fn read_now(&mut self, link: &mut Link) -> io::Result<bool> {
-        link.readable = true;
-        self.fill(link)
-    }
-
     /// Reads one piece of what has come and drops it; true once the peer has ended its side.
     pub fn discard(&mut self, link: &mut Link) -> io::Result<bool> {
         let ended = link.piece()? == Some(0);
