The test of two fronts that share uses addresses of its own

The log of the front that did not come up: `ended, error: Address already in use`. A port was found by binding a datagram socket and letting it go; until the program had it, the other test or a stream could take it. What is checked is the same.

--- a/crates/front/tests/shared.rs
+++ b/crates/front/tests/shared.rs
@@ -1,13 +1,19 @@
 //! What two fronts share, as operators and clients see it. What happens when things fail between them is the rig's.
 
 use meadowrill_standins::{ask, config, frame, ok, Cache, Client, Journal, Program, Seen};
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::Path;
 use std::process::Command;
+use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
+/// An address that nobody else comes upon: a port alone may be given to another test, or be taken for streams, before the
+/// program has it. So each has a loopback address of its own.
 fn free() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").and_then(|socket| socket.local_addr()).unwrap()
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let own = Ipv4Addr::new(127, 64 + high % 64, low, NEXT.fetch_add(1, Relaxed));
+    UdpSocket::bind((own, 0)).and_then(|socket| socket.local_addr()).unwrap()
 }
 
 fn settings(folder: &Path, n: usize, at: [SocketAddr; 2], more: &str) -> String {
