--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -6,6 +6,28 @@
 use std::net::Shutdown;
 use std::time::Duration;
 
+const ESTABLISHED: &str = "01";
+const FIN_WAIT2: &str = "05";
+
+/// Local port, remote port and state of the connections of this machine, as the kernel lists them.
+fn connections() -> impl Iterator<Item = (u16, u16, String)> {
+    let text = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let port = |at: &str| u16::from_str_radix(at.rsplit(':').next().unwrap(), 16).unwrap();
+    let line = move |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        (port(words[1]), port(words[2]), words[3].to_string())
+    };
+    text.lines().skip(1).map(line).collect::<Vec<_>>().into_iter()
+}
+
+fn until(holds: impl Fn() -> bool) {
+    let end = std::time::Instant::now() + HANG;
+    while !holds() {
+        assert!(std::time::Instant::now() < end, "never");
+        std::thread::yield_now();
+    }
+}
+
 /// Whether a request with this id has come to a cache so far.
 fn came(cache: &Cache, id: u32) -> bool {
     let id = format!("X-Req: {id:016x}");
@@ -37,10 +59,14 @@
         // All that is said to it is read, so that its close is no reset.
         assert_eq!((client.answer().kind, client.answer().kind), (66, 90));
     }
-    drop(client);
-    // The end of its stream has been read once this is answered.
-    assert_eq!(other.ready(), 0);
+    client.0.shutdown(Shutdown::Write).unwrap();
+    let port = client.0.local_addr().unwrap().port();
+    // The kernel may deliver it late: it is there once it was acknowledged, and read once this is answered.
+    until(|| connections().any(|(local, _, state)| local == port && state == FIN_WAIT2));
+    assert_eq!((other.ready(), other.ready()), (0, 0));
+    let port = talk.stream.local_addr().unwrap().port();
     talk.reset();
+    until(|| connections().all(|(_, remote, state)| remote != port || state != ESTABLISHED));
     // The round that saw the reset is over once the second of these is answered.
     assert_eq!((other.ready(), other.ready()), (0, 0));
     assert!(next.accept_within(Duration::ZERO).is_none(), "a further attempt");
