--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -28,6 +28,13 @@
     }
 }
 
+/// Ends the client's side; the kernel may deliver that late, but it is there once it was acknowledged.
+fn end(client: &Client) {
+    client.0.shutdown(Shutdown::Write).unwrap();
+    let port = client.0.local_addr().unwrap().port();
+    until(|| connections().any(|(local, _, state)| local == port && state == FIN_WAIT2));
+}
+
 /// Whether a request with this id has come to a cache so far.
 fn came(cache: &Cache, id: u32) -> bool {
     let id = format!("X-Req: {id:016x}");
@@ -59,10 +66,8 @@
         // All that is said to it is read, so that its close is no reset.
         assert_eq!((client.answer().kind, client.answer().kind), (66, 90));
     }
-    client.0.shutdown(Shutdown::Write).unwrap();
-    let port = client.0.local_addr().unwrap().port();
-    // The kernel may deliver it late: it is there once it was acknowledged, and read once this is answered.
-    until(|| connections().any(|(local, _, state)| local == port && state == FIN_WAIT2));
+    end(&client);
+    // Read once this is answered.
     assert_eq!((other.ready(), other.ready()), (0, 0));
     let port = talk.stream.local_addr().unwrap().port();
     talk.reset();
@@ -165,7 +170,7 @@
     program.pause();
     client.write(&frame(80, 0, &[0]).repeat(200));
     client.write(&ask(1, "map", &[], b""));
-    client.0.shutdown(Shutdown::Write).unwrap();
+    end(&client);
     program.resume();
     let answers: Vec<Frame> = std::iter::from_fn(|| client.hear()).collect();
     assert_eq!(answers.iter().filter(|a| a.kind == 81).count(), 200);
@@ -182,7 +187,7 @@
     assert_eq!(client.ready(), 0);
     program.pause();
     client.write(&[ask(1, "map", &[], b""), ask(2, "order", &[], b"")].concat());
-    client.0.shutdown(Shutdown::Write).unwrap();
+    end(&client);
     program.resume();
     let rest: Vec<_> = std::iter::from_fn(|| client.hear()).filter(|f| f.kind == 66).collect();
     assert_eq!(rest.iter().map(|a| (a.stream, a.code())).collect::<Vec<_>>(), [(1, 11), (2, 11)]);
