--- a/crates/front/tests/closing.rs
+++ b/crates/front/tests/closing.rs
@@ -31,11 +31,6 @@
     }
 }
 
-fn came(cache: &Cache, id: u32) -> bool {
-    let id = format!("X-Req: {id:016x}");
-    cache.seen.try_iter().any(|seen| matches!(seen, Seen::Request(_, head, _) if head.contains(&id)))
-}
-
 #[test]
 fn a_request_on_a_resting_connection_that_the_end_closes_is_neither_reset_nor_sent_on() {
     let cache = Cache::start(ok(b"fine"));
@@ -48,7 +43,7 @@
     assert_eq!(client.hear(), None);
     crosses_a_close(&mut client, 77);
     assert!(program.ends_within(HANG));
-    assert!(!came(&cache, 77));
+    assert!(!cache.came(77));
 }
 
 #[test]
@@ -67,7 +62,7 @@
     assert_eq!(client.answer().kind, NO_MORE);
     assert_eq!(client.hear(), None);
     crosses_a_close(&mut client, 78);
-    assert!(!came(&cache, 77));
+    assert!(!cache.came(77));
 }
 
 #[test]
@@ -98,8 +93,8 @@
     first.0.set_read_timeout(Some(HANG)).unwrap();
     assert_eq!(first.hear(), None);
     crosses_a_close(&mut first, 77);
-    assert!(!came(&cache, 77));
-    let open = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+    assert!(!cache.came(77));
+    let open = program.descriptors();
     assert!(open <= 64, "{open} descriptors");
 }
 
@@ -134,7 +129,7 @@
     // The connection stands, as an answer is owed on it; what is new there finds no service, but an answer.
     let answer = client.lookup(2, "map");
     assert_eq!((answer.stream, answer.code()), (2, 11));
-    assert!(!came(&cache, 2));
+    assert!(!cache.came(2));
     let last = client.answer();
     assert_eq!((last.stream, last.code()), (1, 11));
     assert_eq!(client.hear(), None);
--- a/crates/front/tests/crossings.rs
+++ b/crates/front/tests/crossings.rs
@@ -227,10 +227,6 @@
     }
 }
 
-fn descriptors(program: &Program) -> usize {
-    std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count()
-}
-
 fn play(seed: u64) {
     let log = Log::default();
     let journal = Journal::start();
@@ -242,7 +238,7 @@
     config["settings"]["classes"][2]["key_ttl_s"] = json!(WINDOW_MS as f64 / 1e3);
     let mut program = Program::start(&config);
     let (_, mut service) = journal.greeting();
-    let before = descriptors(&program);
+    let before = program.descriptors();
     let ids = AtomicU32::new(1);
     let (fates, ending) = (Mutex::default(), AtomicBool::new(false));
     let world = World { address: program.address, ids, fates, ending };
@@ -282,8 +278,8 @@
     });
     // Back to where it was once what was kept has been idle for long.
     let end = Instant::now() + HANG;
-    while descriptors(&program) > before {
-        assert!(Instant::now() < end, "{} descriptors, {before} before", descriptors(&program));
+    while program.descriptors() > before {
+        assert!(Instant::now() < end, "{} descriptors, {before} before", program.descriptors());
         thread::sleep(Duration::from_millis(50));
     }
     let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
--- a/crates/front/tests/discovery.rs
+++ b/crates/front/tests/discovery.rs
@@ -35,7 +35,7 @@
         "{}\n",
         json!({"pos": 2, "hosts": {"revision": 2, "complete": false, "members": members}})
     ));
-    let open = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+    let open = program.descriptors();
     assert!(open <= sockets, "{open} descriptors");
     // What was told first after the return holds from then on.
     let mut client = Client::new(&program);
--- a/crates/front/tests/leaving.rs
+++ b/crates/front/tests/leaving.rs
@@ -35,12 +35,6 @@
     until(|| connections().any(|(local, _, state)| local == port && state == FIN_WAIT2));
 }
 
-/// Whether a request with this id has come to a cache so far.
-fn came(cache: &Cache, id: u32) -> bool {
-    let id = format!("X-Req: {id:016x}");
-    cache.seen.try_iter().any(|seen| matches!(seen, Seen::Request(_, head, _) if head.contains(&id)))
-}
-
 #[test]
 fn no_further_attempt_begins_for_a_client_that_has_closed() {
     // Also for one whose framing was lost, so that nothing more was read from it.
@@ -176,7 +170,7 @@
     assert_eq!(answers.iter().filter(|a| a.kind == 81).count(), 200);
     let lookups: Vec<_> = answers.iter().filter(|a| a.kind == 66).map(|a| (a.stream, a.code())).collect();
     assert_eq!(lookups, [(1, 11)]);
-    assert!(!came(&cache, 1));
+    assert!(!cache.came(1));
 }
 
 #[test]
@@ -191,7 +185,7 @@
     program.resume();
     let rest: Vec<_> = std::iter::from_fn(|| client.hear()).filter(|f| f.kind == 66).collect();
     assert_eq!(rest.iter().map(|a| (a.stream, a.code())).collect::<Vec<_>>(), [(1, 11), (2, 11)]);
-    assert!(!came(&cache, 1));
+    assert!(!cache.came(1));
 }
 
 #[test]
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -358,7 +358,7 @@
         if ix == 0 {
             caches.iter().for_each(|cache| cache.does(ok(b"fine")));
         }
-        let open = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+        let open = program.descriptors();
         assert!(open <= 64, "{open} descriptors");
     }
     assert!(program.alive());
--- a/crates/standins/src/cache.rs
+++ b/crates/standins/src/cache.rs
@@ -99,6 +99,12 @@
         }
     }
 
+    /// Whether a request with this id has come so far.
+    pub fn came(&self, id: u32) -> bool {
+        let id = format!("X-Req: {id:016x}");
+        self.seen.try_iter().any(|seen| matches!(seen, Seen::Request(_, head, _) if head.contains(&id)))
+    }
+
     pub fn end(&self, number: usize) {
         while self.seen.recv_timeout(HANG).expect("the end of a connection") != Seen::End(number) {}
     }
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -237,6 +237,11 @@
         self.signal("-HUP");
     }
 
+    /// How many it has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     pub fn alive(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
