Events: fifteen faults of leases, epochs, positions and bounds, each with its test

Cause: a first reading against the invariants. Bad input: overflows by positions, epochs and floors out of bounds; a stamp out of bounds made a batch unreadable for ever. Change: the publisher keeps how far it was after each batch (`cuts`) and reports only what is `settled_after`; a relay reports what all had time to apply; batches tell their age; `behind` at a start holds leases back until all is told; bounds on what is read; purge sets keep stamps as they travel; held batches of a former epoch go before its successor; pending events are bounded.

--- a/crates/events/src/distributor.rs
+++ b/crates/events/src/distributor.rs
@@ -1,7 +1,7 @@
 //! The feeding side of a relay or a publisher: subscribers, the batches and snapshots they get, and their leases.
 
 use crate::budget::Budget;
-use crate::event::{Epoch, Event, LogPosition};
+use crate::event::{Epoch, Event, LogPosition, Position};
 use crate::leases::{Holder, Leases};
 use crate::log::{EventLog, Next};
 use crate::output::{Counters, FedStatus, FeedStatus, Notice, Output, Rejected};
@@ -99,6 +99,12 @@
             self.admit(now, &heartbeat, address, out)?;
         }
         let Some(subscription) = self.subscriptions.get_mut(&heartbeat.name) else { return Ok(None) };
+        let at = heartbeat.at.map(LogPosition::from);
+        if at.is_some_and(|at| at.epoch == head.epoch && at.position > head.position) {
+            // It is ahead of a relay that lags; of a publisher nobody is. Nothing of it is believed, or leased to it.
+            self.answer_without_lease(&heartbeat, address, head, supply.hops, out);
+            return Err(Rejected::Future);
+        }
         subscription.renew(now, &heartbeat, address)?;
         let holder = Holder { name: heartbeat.name.clone(), incarnation: heartbeat.incarnation };
         if let Some(acknowledged) = subscription.acknowledged {
@@ -110,21 +116,22 @@
         };
         match supply.log.next_after(at) {
             Next::Missing => self.send_snapshot(now, &heartbeat, address, supply.log, out),
-            Next::Ahead if at.epoch > head.epoch => return Ok(Some(at.epoch)),
-            Next::Ahead => {
-                self.answer_due(&heartbeat.name);
-                return Err(Rejected::Future);
-            }
+            Next::Ahead => return Ok(Some(at.epoch)),
             Next::Batch { .. } | Next::Epoch { .. } | Next::UpToDate => {}
         }
         Ok(None)
     }
 
-    fn answer_due(&mut self, name: &str) {
-        if let Some(subscription) = self.subscriptions.get_mut(name) {
-            // Told at the next tick that there is nothing for it, and no lease.
-            subscription.sent = subscription.at;
-        }
+    fn answer_without_lease(
+        &mut self,
+        heartbeat: &Heartbeat,
+        to: SocketAddr,
+        head: LogPosition,
+        hops: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let grant = Grant { request: heartbeat.request, lease_us: 0, hops };
+        self.send(to, Body::Batch(empty_batch(head, head.position, Some(grant))), out);
     }
 
     /// Takes in a new subscriber, or tells it when to come again.
@@ -207,7 +214,7 @@
         if subscription.is_live(now, &self.plan) {
             let mut sent_any = false;
             for _ in 0..BATCHES_AT_ONCE {
-                let Some(mut batch) = subscription.next_batch(supply.log, head) else { break };
+                let Some(mut batch) = subscription.next_batch(now, supply.log, head) else { break };
                 if !sent_any {
                     batch.grant = self.grant(now, name, &mut subscription, supply);
                 }
@@ -221,15 +228,7 @@
                 let grant = self.grant(now, name, &mut subscription, supply);
                 let place = subscription.sent.filter(|sent| sent.epoch == head.epoch);
                 let first = place.map_or(head.position, |sent| sent.position.min(head.position));
-                let batch = Batch {
-                    epoch: head.epoch.0,
-                    first,
-                    head: head.position,
-                    events: Vec::new(),
-                    grant,
-                    follows: None,
-                };
-                self.send(subscription.address, Body::Batch(batch), out);
+                self.send(subscription.address, Body::Batch(empty_batch(head, first, grant)), out);
             }
         }
         self.subscriptions.insert(name.to_string(), subscription);
@@ -355,7 +354,7 @@
     }
 
     /// What is to be sent to it next, taken as sent.
-    fn next_batch(&mut self, log: &EventLog, head: LogPosition) -> Option<Batch> {
+    fn next_batch(&mut self, now: Micros, log: &EventLog, head: LogPosition) -> Option<Batch> {
         let (sent, at) = (self.sent?, self.at?);
         if sent.epoch == at.epoch && sent.position >= at.position + UNACKNOWLEDGED_MOST {
             return None;
@@ -367,19 +366,26 @@
                 // Of a former epoch all that is kept is told: whoever reads it learns of the next one by itself.
                 let known = if epoch == head.epoch { head.position } else { batch.end() };
                 let (first, events) = (batch.first, batch.bytes.clone());
-                Some(Batch { epoch: epoch.0, first, head: known, events, grant: None, follows })
+                let age_ms = u32::try_from((now - batch.at) / MILLISECOND).unwrap_or(0);
+                Some(Batch { epoch: epoch.0, first, head: known, events, grant: None, follows, age_ms })
             }
             Next::Epoch { epoch, follows } => {
                 self.sent = Some(LogPosition { epoch, position: 0 });
                 let head = if epoch == head.epoch { head.position } else { 0 };
-                let follows = Some(follows.into());
-                Some(Batch { epoch: epoch.0, first: 0, head, events: Vec::new(), grant: None, follows })
+                let start = empty_batch(LogPosition { epoch, position: head }, 0, None);
+                Some(Batch { follows: Some(follows.into()), ..start })
             }
             Next::UpToDate | Next::Missing | Next::Ahead => None,
         }
     }
 }
 
+/// No events: tells up to where all has been sent, and brings a grant.
+fn empty_batch(head: LogPosition, first: Position, grant: Option<Grant>) -> Batch {
+    let LogPosition { epoch, position } = head;
+    Batch { epoch: epoch.0, first, head: position, events: Vec::new(), grant, follows: None, age_ms: 0 }
+}
+
 /// One part of a snapshot, from behind a place on.
 fn snapshot_part(log: &EventLog, after: Option<Cursor>, request: u32, paused: bool) -> SnapshotPart {
     let mut packer = Packer::default();
--- a/crates/events/src/log.rs
+++ b/crates/events/src/log.rs
@@ -14,7 +14,7 @@
 pub struct StoredBatch {
     pub first: Position,
     pub count: u64,
-    /// When this member published or received it.
+    /// When it was published, as far as this member can tell; not earlier.
     pub at: Micros,
     pub bytes: Vec<u8>,
 }
@@ -37,6 +37,16 @@
     batches: VecDeque<StoredBatch>,
 }
 
+impl Segment {
+    /// Its start, for whoever has applied enough of the former epoch.
+    fn start_after(&self, from: LogPosition) -> Next<'_> {
+        match self.follows.filter(|f| f.epoch == from.epoch && from.position >= f.position) {
+            Some(follows) => Next::Epoch { epoch: self.epoch, follows },
+            None => Next::Missing,
+        }
+    }
+}
+
 /// What comes behind a position.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next<'a> {
@@ -146,27 +156,17 @@
             };
         };
         let segment = &self.segments[at];
-        if let Some(next) = self.segments.get(at + 1) {
-            let linked = next.follows.filter(|f| f.epoch == from.epoch && from.position >= f.position);
-            if let Some(follows) = linked {
-                return Next::Epoch { epoch: next.epoch, follows };
+        // What is held of a former epoch goes first, also where the next one may do without it.
+        if (segment.base..segment.head).contains(&from.position) {
+            let behind = segment.batches.partition_point(|batch| batch.end() <= from.position);
+            if let Some(batch) = segment.batches.get(behind) {
+                return Next::Batch { epoch: segment.epoch, follows: segment.follows, batch };
             }
         }
-        if from.position < segment.base {
-            return Next::Missing;
-        }
-        if from.position >= segment.head {
-            // The end of a former epoch that the next one does not follow.
-            let last = at + 1 == self.segments.len();
-            return match (last, from.position == segment.head) {
-                (true, true) => Next::UpToDate,
-                (true, false) => Next::Ahead,
-                (false, _) => Next::Missing,
-            };
-        }
-        let behind = segment.batches.partition_point(|batch| batch.end() <= from.position);
-        match segment.batches.get(behind) {
-            Some(batch) => Next::Batch { epoch: segment.epoch, follows: segment.follows, batch },
+        match self.segments.get(at + 1) {
+            Some(next) => next.start_after(from),
+            None if from.position == segment.head => Next::UpToDate,
+            None if from.position > segment.head => Next::Ahead,
             None => Next::Missing,
         }
     }
--- a/crates/events/src/plan.rs
+++ b/crates/events/src/plan.rs
@@ -7,6 +7,8 @@
 pub const SECOND: Micros = 1_000_000;
 /// A name, a region and a zone are no longer than this, in bytes.
 pub const TEXT_MOST: usize = 64;
+/// A relay may follow one that follows the publisher; no farther.
+pub(crate) const RELAYS_IN_LINE: u32 = 2;
 /// Relays that may be listed.
 pub const RELAYS_MOST: usize = 64;
 
@@ -83,7 +85,14 @@
     /// its last lease after `lag_most`, and one that has gone keeps it for `lease`.
     pub fn done_within(&self) -> Micros {
         let last_lease = self.lag_most + self.with_drift(self.lease) + 4 * self.batch;
-        last_lease.max(self.with_drift(self.copy_age) + 2 * self.batch)
+        last_lease.max(self.settled_after() + 2 * self.batch)
+    }
+
+    /// How old an event is at least once it is said to be in force everywhere: those without a lease serve no copies that
+    /// old, and each member in line has had the time in which those that it feeds have to follow.
+    pub(crate) fn settled_after(&self) -> Micros {
+        let members_in_line = Micros::from(RELAYS_IN_LINE) + 1;
+        self.with_drift(self.copy_age).max(members_in_line * self.lag_most)
     }
 
     pub fn check(&self) -> Result<(), Faulty> {
--- a/crates/events/src/publisher.rs
+++ b/crates/events/src/publisher.rs
@@ -10,7 +10,7 @@
 use crate::plan::{Identity, Plan, RelayPlan, SECOND};
 use crate::purges::PurgeSet;
 use crate::subscriber::{Role, Subscriber};
-use crate::wire::{self, Body, Packer};
+use crate::wire::{self, Body, Packer, EPOCH_MOST};
 use crate::{mutant, Micros};
 use std::collections::VecDeque;
 
@@ -22,6 +22,20 @@
 /// Events that are followed until they are in force everywhere. Of more, the earliest are told no more.
 const UNFINISHED_MOST: usize = 200_000;
 
+/// An event that was told, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Pending {
+    event: Event,
+    told: Micros,
+}
+
+/// How far the log reached at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Cut {
+    at: Micros,
+    head: LogPosition,
+}
+
 /// An event that is not known to be in force everywhere.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Unfinished {
@@ -40,10 +54,15 @@
     started: Micros,
     log: EventLog,
     /// Told, but not in a batch yet.
-    pending: Vec<(Event, Micros)>,
+    pending: Vec<Pending>,
+    /// The service has told all that still binds since this start, and it is in the log. Until then nobody gets a lease:
+    /// what an earlier start said to be in force may be missing.
+    is_told_all: bool,
     /// In a batch, but not in force everywhere.
     unfinished: VecDeque<Unfinished>,
     next_batch: Micros,
+    /// Up to where the log reached after each of the latest batches, back to the one that the age of copies covers.
+    cuts: VecDeque<Cut>,
     distributor: Distributor,
     done: LogPosition,
     /// Since when the service may have kept events back.
@@ -61,6 +80,8 @@
             started: now,
             log: EventLog::new(relay.window_bytes, purges),
             pending: Vec::new(),
+            is_told_all: false,
+            cuts: VecDeque::new(),
             unfinished: VecDeque::new(),
             next_batch: now,
             distributor: Distributor::new(plan.clone(), relay, now),
@@ -76,16 +97,26 @@
 
     /// A new epoch, larger than any that was heard of.
     fn begin(&mut self, now: Micros, follows: Option<LogPosition>) {
-        let epoch = Epoch((now.max(0) as u64).max(follows.map_or(0, |at| at.epoch.0 + 1)));
+        let clock = (now.max(0) as u64).min(EPOCH_MOST.0);
+        let epoch = Epoch(clock.max(follows.map_or(0, |at| at.epoch.0 + 1)));
         self.log.begin(epoch, follows);
         self.done = LogPosition { epoch, position: 0 };
     }
 
     pub fn publish(&mut self, now: Micros, event: Event) {
-        self.pending.push((event, now));
+        self.pending.push(Pending { event, told: now });
+        if self.pending.len() < self.plan.purges_most {
+            return;
+        }
+        // More than is kept does not wait: the next tick goes on without what others know.
+        match self.recovery {
+            Some(_) => self.recovery_until = now,
+            None => self.cut_batches(now),
+        }
     }
 
-    /// The service that tells events may have kept some back since then; none: it has told all.
+    /// The service that tells events may have kept some back since then; none: it has told all. To be called before the
+    /// first tick, unless all was told by then: until it has, no lease is granted.
     pub fn behind(&mut self, since: Option<Micros>) {
         self.behind = since;
     }
@@ -125,12 +156,14 @@
         match heard {
             Ok(None) => {}
             // Somebody has followed a later publisher than this one thought to be: its clock stepped back.
+            Ok(Some(later)) if later >= EPOCH_MOST => self.distributor.counters.reject(Rejected::Future),
             Ok(Some(later)) if self.recovery.is_none() => {
-                let epoch = Epoch(later.0.saturating_add(1));
-                self.log.begin(epoch, None);
-                self.done = LogPosition { epoch, position: 0 };
+                let at = LogPosition { epoch: Epoch(later.0 + 1), position: 0 };
+                // What is not in force yet is so once all have come to the new epoch, which takes a snapshot of it, and
+                // copies from before now are too old: `done` stays where it is.
+                self.log.begin(at.epoch, None);
                 self.started = now;
-                out.push(Output::Notice(Notice::NewEpoch { at: self.done }));
+                out.push(Output::Notice(Notice::NewEpoch { at }));
             }
             Ok(Some(_)) => {}
             Err(why) => self.distributor.counters.reject(why),
@@ -167,6 +200,8 @@
         self.distributor.tick(now, out);
         if self.recovery.is_none() {
             self.cut_batches(now);
+            self.note_cut(now);
+            self.note_told_all();
             self.update_done(now, out);
         }
         let supply = Supply { log: &self.log, lease: self.supply_lease(now), hops: 0 };
@@ -178,7 +213,7 @@
         let oldest = now - self.plan.keep;
         let mut packer = Packer::default();
         let mut events: Vec<Event> = Vec::new();
-        for (event, told) in std::mem::take(&mut self.pending) {
+        for Pending { event, told } in std::mem::take(&mut self.pending) {
             let Event::Purge(purge) = event;
             if purge.stamp < oldest {
                 continue;
@@ -195,6 +230,27 @@
         self.append(now, &mut events, packer);
     }
 
+    fn note_cut(&mut self, now: Micros) {
+        if let Some(head) = self.log.position() {
+            self.cuts.push_back(Cut { at: now, head });
+        }
+        let moment = now - self.plan.settled_after();
+        while self.cuts.get(1).is_some_and(|second| second.at <= moment) {
+            self.cuts.pop_front();
+        }
+    }
+
+    /// Whoever lacks what was told before the first lease gets none.
+    fn note_told_all(&mut self) {
+        if self.is_told_all || self.behind.is_some() {
+            return;
+        }
+        if let Some(head) = self.log.position() {
+            self.is_told_all = true;
+            self.distributor.report(head);
+        }
+    }
+
     fn append(&mut self, now: Micros, events: &mut Vec<Event>, packer: Packer) {
         if !events.is_empty() {
             self.log.append(now, events, packer.finish());
@@ -213,6 +269,9 @@
     }
 
     fn supply_lease(&self, now: Micros) -> Micros {
+        if !self.is_told_all {
+            return 0;
+        }
         match self.behind {
             None => self.plan.lease,
             Some(since) => (since + BEHIND_MOST - now).min(self.plan.lease),
@@ -222,17 +281,18 @@
     /// What is in force everywhere only grows.
     fn update_done(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(head) = self.log.position() else { return };
-        let reported = self.distributor.report(head);
-        let acknowledged = if mutant("done-without-acknowledgement") { head } else { reported };
+        let moment = now - self.plan.settled_after();
+        let Some(old) = self.cuts.front().filter(|cut| cut.at <= moment) else { return };
+        // Only what is old enough: a report of the head would bar whoever lacks the latest batch from a first lease.
+        let reported = self.distributor.report(old.head);
+        let acknowledged = if mutant("done-without-acknowledgement") { old.head } else { reported };
         // Leases of an earlier start of the publisher may still be held.
         let earlier_leases_over =
             now >= self.started + self.plan.with_drift(self.plan.lease) + self.plan.batch;
         if acknowledged.epoch != head.epoch || !earlier_leases_over {
             return;
         }
-        let old_copies_over = self.log.reached_by(now - self.plan.with_drift(self.plan.copy_age));
-        let done = old_copies_over.map_or(acknowledged, |at| at.min(acknowledged));
-        self.done = self.done.max(done);
+        self.done = self.done.max(acknowledged.min(old.head));
         while self.unfinished.front().is_some_and(|first| first.end <= self.done) {
             let Some(Unfinished { event, told, .. }) = self.unfinished.pop_front() else { return };
             out.push(Output::InForce { event, took: now - told });
--- a/crates/events/src/purges.rs
+++ b/crates/events/src/purges.rs
@@ -1,6 +1,7 @@
 //! Purges that still bind, merged and bounded.
 
 use crate::event::{Purge, PurgeKey};
+use crate::wire::as_sent;
 use crate::{mutant, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
@@ -54,6 +55,7 @@
     /// True if it says more than was known: a later stamp of its key.
     pub fn insert(&mut self, purge: Purge) -> bool {
         let Purge { key, stamp } = purge;
+        let stamp = as_sent(stamp);
         let known = self.stamps.get(&key).copied();
         if known.is_some_and(|known| known >= stamp) {
             return false;
--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -4,7 +4,7 @@
 use crate::event::{Epoch, Event, LogPosition};
 use crate::log::EventLog;
 use crate::output::{Counters, Notice, Output, Rejected, SubscriberStatus};
-use crate::plan::{Identity, Plan, RelayAddress, SECOND};
+use crate::plan::{Identity, Plan, RelayAddress, MILLISECOND, RELAYS_IN_LINE, SECOND};
 use crate::purges::{Cursor, PurgeSet};
 use crate::wire::{self, Batch, Body, Busy, Grant, Heartbeat, SnapshotPart, SnapshotPlace};
 use crate::{mutant, Micros};
@@ -14,8 +14,6 @@
 
 /// Heartbeats whose answers are still waited for.
 const REQUESTS_MOST: usize = 32;
-/// A relay follows no member that is farther from the publisher than this.
-const HOPS_MOST: u32 = 1;
 /// Between two tries to return to the preferred relay, drawn from this range.
 const HOME_LEAST: Micros = 10 * SECOND;
 const HOME_MOST: Micros = 30 * SECOND;
@@ -207,7 +205,7 @@
         }
         // Where all refuse, going from one to the other helps nobody: more and more patience.
         let patience = self.plan.lease * Micros::from(1 + self.refusals);
-        let refuses = now - self.refused_since > patience && self.fetch.is_none();
+        let refuses = now - self.refused_since > patience;
         if self.unanswered >= self.plan.tries || refuses {
             self.refusals = (self.refusals + u32::from(refuses)).min(REFUSALS_MOST);
             return self.switch(now, (self.current + 1) % self.relays.len(), out);
@@ -302,8 +300,10 @@
         if batch.head < end {
             return Err(Rejected::Bounds);
         }
-        let followed = self.follow_epoch(place, &batch, out);
-        let taken = followed.and_then(|()| self.take_events(now, place, events, batch.events, out));
+        let published = now - Micros::from(batch.age_ms) * MILLISECOND;
+        let followed = self.follow_epoch(now, place, &batch, out);
+        let taken =
+            followed.and_then(|()| self.take_events(now, published, place, events, batch.events, out));
         self.head = self.head.max(Some(LogPosition { position: batch.head, ..place }));
         if let Some(grant) = batch.grant {
             self.take_grant(now, grant, out)?;
@@ -314,6 +314,7 @@
     /// The publisher has started anew: whoever has all that it builds on goes over.
     fn follow_epoch(
         &mut self,
+        now: Micros,
         place: LogPosition,
         batch: &Batch,
         out: &mut Vec<Output>,
@@ -333,13 +334,18 @@
             out.push(Output::Notice(Notice::NewEpoch { at }));
             return Ok(());
         }
-        // What lies between is to be had by a snapshot, which the relay offers when it hears where this one is.
+        // The start of the epoch was lost on the way. Where it does not follow, the relay offers a snapshot as soon as it
+        // hears where this one is.
+        if self.fetch.is_none() {
+            self.ask_again(now);
+        }
         Err(Rejected::Unexpected)
     }
 
     fn take_events(
         &mut self,
         now: Micros,
+        published: Micros,
         place: LogPosition,
         events: Vec<Event>,
         packed: Vec<u8>,
@@ -359,7 +365,7 @@
         }
         self.counters.batches += 1;
         self.counters.events += events.len() as u64 - known;
-        let fresh = self.log.append_rest(now, known as usize, &events, packed);
+        let fresh = self.log.append_rest(published, known as usize, &events, packed);
         out.extend(fresh.into_iter().map(Output::Apply));
         Ok(())
     }
@@ -380,12 +386,12 @@
 
     fn take_grant(&mut self, now: Micros, grant: Grant, out: &mut Vec<Output>) -> Result<(), Rejected> {
         let request = self.answered(grant.request)?;
-        let too_far = self.role == Role::Relay && grant.hops > HOPS_MOST;
+        let too_far = self.role == Role::Relay && grant.hops >= RELAYS_IN_LINE;
         if grant.lease_us == 0 || too_far {
             self.next_heartbeat = self.next_heartbeat.min(request.sent + self.plan.retry).max(now);
             return Ok(());
         }
-        self.hops = grant.hops + 1;
+        self.hops = grant.hops.saturating_add(1);
         (self.refused_since, self.refusals) = (now, 0);
         let from = if mutant("lease-from-arrival") { now } else { request.sent };
         let until = from + Micros::from(grant.lease_us).min(self.plan.lease);
@@ -461,7 +467,9 @@
     }
 
     fn finish_fetch(&mut self, now: Micros, out: &mut Vec<Output>) {
-        let Some(fetch) = self.fetch.take() else { return };
+        let Some(mut fetch) = self.fetch.take() else { return };
+        // A relay that is behind this one may have written a part: what was applied before still counts.
+        fetch.at = self.log.position().map_or(fetch.at, |own| own.max(fetch.at));
         self.log.reset(fetch.at);
         self.next_heartbeat = now;
         self.refused_since = now;
--- a/crates/events/src/wire.rs
+++ b/crates/events/src/wire.rs
@@ -4,7 +4,7 @@
 //! Events are packed: a number that holds the difference of stamps in milliseconds and the kind, then 8 bytes of an object
 //! or the number of a group. That makes 9 or 10 bytes for the purge of an object.
 
-use crate::event::{Epoch, Event, LogPosition, Purge, PurgeKey};
+use crate::event::{Epoch, Event, LogPosition, Position, Purge, PurgeKey};
 use crate::output::Rejected;
 use crate::plan::{MILLISECOND, TEXT_MOST};
 use crate::purges::Cursor;
@@ -22,6 +22,10 @@
 pub const EVENTS_MOST: usize = 1000;
 /// Stamps are within so many milliseconds of the Unix epoch: the year 6429.
 const STAMP_MOST: i64 = 1 << 47;
+/// An epoch is no later than this: as microseconds, the year 4253. Room is left to count on from any that is read.
+pub const EPOCH_MOST: Epoch = Epoch(1 << 56);
+/// Positions are no larger than this.
+pub const POSITION_MOST: Position = 1 << 56;
 const KIND_BITS: u32 = 2;
 const OBJECT: u64 = 0;
 const GROUP: u64 = 1;
@@ -129,6 +133,9 @@
     /// With the first events of an epoch: whoever has applied this much of the former one may go on here.
     #[prost(message, optional, tag = "6")]
     pub follows: Option<Place>,
+    /// How long ago these events were published, as far as the sender knows.
+    #[prost(uint32, tag = "7")]
+    pub age_ms: u32,
 }
 
 /// A place in the order of purges.
@@ -214,15 +221,53 @@
         return Err(Rejected::Fleet);
     }
     let body = packet.body.ok_or(Rejected::Bounds)?;
-    if let Body::Heartbeat(heartbeat) = &body {
-        let name = &heartbeat.name;
-        if name.is_empty() || name.len() > TEXT_MOST || heartbeat.address.len() > TEXT_MOST {
-            return Err(Rejected::Bounds);
-        }
+    if !body.is_within_bounds() {
+        return Err(Rejected::Bounds);
     }
     Ok(body)
 }
 
+impl Body {
+    fn is_within_bounds(&self) -> bool {
+        match self {
+            Body::Heartbeat(heartbeat) => heartbeat.is_within_bounds(),
+            Body::Batch(batch) => batch.is_within_bounds(),
+            Body::SnapshotPart(part) => part.is_within_bounds(),
+            Body::Busy(_) => true,
+        }
+    }
+}
+
+impl Place {
+    fn is_within_bounds(&self) -> bool {
+        self.epoch <= EPOCH_MOST.0 && self.position <= POSITION_MOST
+    }
+}
+
+impl Heartbeat {
+    fn is_within_bounds(&self) -> bool {
+        let text = !self.name.is_empty() && self.name.len() <= TEXT_MOST && self.address.len() <= TEXT_MOST;
+        // All that a relay feeds are no farther than the relay.
+        let acknowledged = self.acknowledged.map(LogPosition::from) <= self.at.map(LogPosition::from);
+        text && acknowledged && self.at.is_none_or(|at| at.is_within_bounds())
+    }
+}
+
+impl Batch {
+    fn is_within_bounds(&self) -> bool {
+        let first = Place { epoch: self.epoch, position: self.first };
+        let head = Place { position: self.head, ..first };
+        [Some(first), Some(head), self.follows].into_iter().flatten().all(|place| place.is_within_bounds())
+    }
+}
+
+impl SnapshotPart {
+    fn is_within_bounds(&self) -> bool {
+        let floor = self.floor.is_none_or(|floor| is_stamp(to_milliseconds(floor)));
+        floor && self.at.is_none_or(|at| at.is_within_bounds())
+    }
+}
+
 /// Packs events one behind the other.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Packer {
@@ -244,7 +289,7 @@
     #[must_use]
     pub fn push(&mut self, event: &Event) -> bool {
         let Event::Purge(Purge { key, stamp }) = *event;
-        let stamp_ms = to_milliseconds(stamp);
+        let stamp_ms = to_milliseconds(as_sent(stamp));
         let difference = zigzag(stamp_ms - self.last_stamp_ms);
         let length = self.bytes.len();
         match key {
@@ -279,7 +324,7 @@
     while !rest.is_empty() {
         let word = decode_varint(&mut rest).map_err(|_| Rejected::Bounds)?;
         stamp_ms = stamp_ms.checked_add(unzigzag(word >> KIND_BITS)).ok_or(Rejected::Bounds)?;
-        if !(-STAMP_MOST..=STAMP_MOST).contains(&stamp_ms) {
+        if !is_stamp(stamp_ms) {
             return Err(Rejected::Bounds);
         }
         let key = match word & ((1 << KIND_BITS) - 1) {
@@ -299,6 +344,15 @@
     Ok(events)
 }
 
+fn is_stamp(milliseconds: i64) -> bool {
+    (-STAMP_MOST..=STAMP_MOST).contains(&milliseconds)
+}
+
+/// The stamp as it travels, and as every member keeps it: the order of a snapshot is the same at all of them.
+pub(crate) fn as_sent(stamp: Micros) -> Micros {
+    to_milliseconds(stamp).clamp(-STAMP_MOST, STAMP_MOST) * MILLISECOND
+}
+
 /// Upwards: a later stamp refuses more copies, never fewer.
 fn to_milliseconds(stamp: Micros) -> i64 {
     stamp.div_euclid(MILLISECOND) + i64::from(stamp.rem_euclid(MILLISECOND) != 0)
--- /dev/null
+++ b/crates/events/tests/regressions.rs
@@ -0,0 +1,385 @@
+//! Faults that were found by reading or by drawn schedules, each in as few datagrams as show it.
+
+mod simulation;
+
+use meadowrill_events::event::{Epoch, Event, LogPosition, Purge, PurgeKey};
+use meadowrill_events::log::{EventLog, Next};
+use meadowrill_events::output::{Output, Rejected};
+use meadowrill_events::plan::{Identity, Plan, RelayAddress, RelayPlan, MILLISECOND, SECOND};
+use meadowrill_events::publisher::Publisher;
+use meadowrill_events::purges::PurgeSet;
+use meadowrill_events::relay::Relay;
+use meadowrill_events::subscriber::Subscriber;
+use meadowrill_events::wire::{
+    self, Batch, Body, Busy, Grant, Heartbeat, Packer, Place, SnapshotPart, SnapshotPlace, EPOCH_MOST,
+};
+use meadowrill_events::Micros;
+use simulation::{address, Network, FLEET, START};
+
+const FRONT: usize = 9;
+
+fn plan(relays: usize) -> Plan {
+    let listed = (0..relays).map(|node| RelayAddress {
+        name: format!("relay-{node}"),
+        address: address(node),
+        region: "region".into(),
+        zone: "zone".into(),
+        publishes: node == 0,
+    });
+    Plan::new(FLEET, listed.collect())
+}
+
+fn identity(name: &str, node: usize) -> Identity {
+    let (region, zone) = ("region".into(), "zone".into());
+    Identity { name: name.into(), incarnation: 1, address: address(node), region, zone }
+}
+
+/// A publisher that nobody else relays for: it begins its epoch at once.
+fn publisher(relay: RelayPlan) -> Publisher {
+    Publisher::new(plan(1), relay, identity("relay-0", 0), START, 1)
+}
+
+fn front(relays: usize) -> Subscriber {
+    Subscriber::new(plan(relays), identity("front", FRONT), START, 1)
+}
+
+fn purge(object: u64, stamp: Micros) -> Event {
+    Event::Purge(Purge { key: PurgeKey::Object(object), stamp })
+}
+
+fn place(epoch: u64, position: u64) -> Option<Place> {
+    Some(Place { epoch, position })
+}
+
+fn heartbeat(request: u32, at: Option<LogPosition>) -> Heartbeat {
+    let (name, address) = ("front".into(), address(FRONT).to_string());
+    Heartbeat { name, address, incarnation: 1, request, at: at.map(Into::into), ..Heartbeat::default() }
+}
+
+fn packed(events: &[Event]) -> Vec<u8> {
+    let mut packer = Packer::default();
+    assert!(events.iter().all(|event| packer.push(event)));
+    packer.finish()
+}
+
+/// All messages among these outputs.
+fn bodies(out: &[Output]) -> Vec<Body> {
+    let sent = out.iter().filter_map(|output| match output {
+        Output::Send { bytes, .. } => wire::read(FLEET, bytes).ok(),
+        _ => None,
+    });
+    sent.collect()
+}
+
+fn grants(out: &[Output]) -> Vec<Grant> {
+    let batches = bodies(out).into_iter().filter_map(|body| match body {
+        Body::Batch(batch) => batch.grant,
+        _ => None,
+    });
+    batches.collect()
+}
+
+fn in_force(out: &[Output]) -> usize {
+    out.iter().filter(|output| matches!(output, Output::InForce { .. })).count()
+}
+
+/// The one heartbeat that is sent at this tick, if any.
+fn heartbeat_of(subscriber: &mut Subscriber, now: Micros) -> Option<Heartbeat> {
+    let mut out = Vec::new();
+    subscriber.tick(now, &mut out);
+    bodies(&out).into_iter().find_map(|body| match body {
+        Body::Heartbeat(heartbeat) => Some(heartbeat),
+        _ => None,
+    })
+}
+
+fn tell(subscriber: &mut Subscriber, now: Micros, body: Body) -> Vec<Output> {
+    let mut out = Vec::new();
+    subscriber.receive(now, &wire::write(FLEET, body), &mut out);
+    out
+}
+
+/// A front that has fetched a snapshot without purges.
+fn front_at(relays: usize, epoch: u64, position: u64) -> Subscriber {
+    let mut front = front(relays);
+    let request = heartbeat_of(&mut front, START).expect("the first heartbeat").request;
+    let part = SnapshotPart { at: place(epoch, position), request, ..SnapshotPart::default() };
+    tell(&mut front, START, Body::SnapshotPart(part));
+    assert_eq!(front.position(), Some(LogPosition { epoch: Epoch(epoch), position }));
+    front
+}
+
+/// A purge in each batch, for so long.
+fn publish(network: &mut Network, span: Micros) {
+    for _ in 0..span / (50 * MILLISECOND) {
+        network.publish_next();
+        network.run(50 * MILLISECOND).unwrap();
+    }
+}
+
+/// The least that may be reported was the head at each batch, so nobody was far enough for a first lease.
+#[test]
+fn first_leases_are_granted_while_each_batch_brings_a_purge() {
+    let mut network = Network::new(2, 4, 1);
+    network.run(3 * SECOND).unwrap();
+    network.kill(0);
+    network.run(3 * SECOND).unwrap();
+    network.start(0);
+    publish(&mut network, 8 * SECOND);
+    let leased = (2..6).filter(|node| network.leased(*node)).count();
+    assert_eq!(leased, 4);
+}
+
+/// The same for one that is far away: what it has acknowledged is always a round trip old.
+#[test]
+fn a_front_far_away_gets_a_lease_while_purges_go_on() {
+    let mut network = Network::new(2, 1, 1);
+    network.delay_most = 90 * MILLISECOND;
+    network.kill(2);
+    publish(&mut network, 4 * SECOND);
+    network.start(2);
+    publish(&mut network, 4 * SECOND);
+    assert!(network.leased(2));
+}
+
+#[test]
+fn a_lost_start_of_an_epoch_is_asked_for_again() {
+    let mut front = front_at(1, 5, 10);
+    let batch = Batch { epoch: 6, first: 3, head: 3, ..Batch::default() };
+    tell(&mut front, START + 1, Body::Batch(batch));
+    let asked = heartbeat_of(&mut front, START + 60 * MILLISECOND).expect("a heartbeat at once");
+    assert!(asked.gap);
+}
+
+#[test]
+fn a_snapshot_of_a_relay_that_is_behind_takes_nothing_back() {
+    let mut front = front_at(1, 5, 10);
+    let request = heartbeat_of(&mut front, START).expect("a heartbeat").request;
+    let part = SnapshotPart { at: place(5, 7), request, ..SnapshotPart::default() };
+    tell(&mut front, START, Body::SnapshotPart(part));
+    assert_eq!(front.position(), Some(LogPosition { epoch: Epoch(5), position: 10 }));
+}
+
+#[test]
+fn a_relay_that_is_busy_for_ever_is_left_in_the_middle_of_a_snapshot() {
+    let mut front = front(2);
+    let request = heartbeat_of(&mut front, START).expect("a heartbeat").request;
+    let next = Some(SnapshotPlace::of((START, PurgeKey::Object(1))));
+    let events = packed(&[purge(1, START)]);
+    let part = SnapshotPart { at: place(5, 7), request, next, events, ..SnapshotPart::default() };
+    tell(&mut front, START, Body::SnapshotPart(part));
+    let first = front.status(START).relay;
+    let mut now = START;
+    while front.status(now).relay == first {
+        assert!(now < START + 5 * SECOND, "asks {first} for ever");
+        now += 10 * MILLISECOND;
+        if let Some(heartbeat) = heartbeat_of(&mut front, now) {
+            let busy = Busy { request: heartbeat.request, retry_ms: 100, full: false };
+            tell(&mut front, now, Body::Busy(busy));
+        }
+    }
+    assert!(front.status(now).fetching_snapshot);
+}
+
+/// The age of the last event was read from the window, which may have lost it.
+#[test]
+fn nothing_is_done_before_old_copies_are_over_where_the_window_is_small() {
+    let plan = plan(1);
+    let mut publisher = publisher(RelayPlan { window_bytes: 10_000, ..RelayPlan::default() });
+    let mut now = START;
+    while now < START + 3 * SECOND {
+        now += plan.batch;
+        publisher.tick(now, &mut Vec::new());
+    }
+    let told = now;
+    (0..5_000).for_each(|object| publisher.publish(told, purge(object, told)));
+    let mut out = Vec::new();
+    while in_force(&out) == 0 {
+        now += plan.batch;
+        publisher.tick(now, &mut out);
+        assert!(now < told + plan.done_within());
+    }
+    assert!(now - told >= plan.copy_age, "in force after {} us", now - told);
+    assert_eq!(in_force(&out), 5_000);
+}
+
+#[test]
+fn what_was_told_in_a_former_epoch_is_not_done_by_a_new_one() {
+    let plan = plan(1);
+    let mut publisher = publisher(RelayPlan::default());
+    let mut now = START;
+    while now < START + 3 * SECOND {
+        now += plan.batch;
+        publisher.tick(now, &mut Vec::new());
+    }
+    let told = now;
+    publisher.publish(told, purge(1, told));
+    let mut out = Vec::new();
+    publisher.tick(now + plan.batch, &mut out);
+    let later = LogPosition { epoch: Epoch(START as u64 + 77), position: 3 };
+    publisher.receive(
+        now + plan.batch,
+        &wire::write(FLEET, Body::Heartbeat(heartbeat(1, Some(later)))),
+        &mut out,
+    );
+    assert!(publisher.published().epoch > later.epoch);
+    while in_force(&out) == 0 {
+        now += plan.batch;
+        publisher.tick(now, &mut out);
+        assert!(now < told + plan.done_within());
+    }
+    assert!(now - told >= plan.copy_age, "in force after {} us", now - told);
+}
+
+fn receive(publisher: &mut Publisher, now: Micros, heartbeat: Heartbeat) -> Vec<Output> {
+    let mut out = Vec::new();
+    publisher.receive(now, &wire::write(FLEET, Body::Heartbeat(heartbeat)), &mut out);
+    out
+}
+
+fn rejected(publisher: &Publisher, now: Micros, why: Rejected) -> u64 {
+    publisher.status(now).counters.rejected[why as usize]
+}
+
+#[test]
+fn a_position_from_the_future_is_neither_believed_nor_kept() {
+    let mut publisher = publisher(RelayPlan::default());
+    publisher.tick(START, &mut Vec::new());
+    let head = publisher.published();
+    let mut now = START;
+    receive(&mut publisher, now, heartbeat(1, Some(head)));
+    let beyond = LogPosition { position: 900, ..head };
+    receive(&mut publisher, now, heartbeat(2, Some(beyond)));
+    assert_eq!(rejected(&publisher, now, Rejected::Future), 1);
+    let huge = LogPosition { position: u64::MAX, ..head };
+    receive(&mut publisher, now, heartbeat(3, Some(huge)));
+    let acknowledged = Some(beyond.into());
+    receive(&mut publisher, now, Heartbeat { acknowledged, ..heartbeat(4, Some(head)) });
+    assert_eq!(rejected(&publisher, now, Rejected::Bounds), 2);
+    // The true one goes on, with a lease.
+    receive(&mut publisher, now, heartbeat(5, Some(head)));
+    now += SECOND;
+    let mut out = Vec::new();
+    publisher.tick(now, &mut out);
+    assert!(grants(&out).iter().all(|grant| grant.lease_us > 0));
+    assert_eq!(grants(&out).len(), 1);
+}
+
+#[test]
+fn an_epoch_that_leaves_no_room_for_another_is_not_believed() {
+    let mut publisher = publisher(RelayPlan::default());
+    let before = publisher.published().epoch;
+    receive(&mut publisher, START, heartbeat(1, Some(LogPosition { epoch: EPOCH_MOST, position: 0 })));
+    assert_eq!(rejected(&publisher, START, Rejected::Future), 1);
+    let largest = LogPosition { epoch: Epoch(u64::MAX), position: 0 };
+    receive(&mut publisher, START, heartbeat(2, Some(largest)));
+    assert_eq!(rejected(&publisher, START, Rejected::Bounds), 1);
+    assert_eq!(publisher.published().epoch, before);
+}
+
+/// What an earlier start said to be in force may be among what the service has not told again yet.
+#[test]
+fn no_lease_before_the_service_has_told_all() {
+    let mut publisher = publisher(RelayPlan::default());
+    publisher.behind(Some(START));
+    let head = publisher.published();
+    receive(&mut publisher, START, heartbeat(1, Some(head)));
+    let mut out = Vec::new();
+    publisher.tick(START + SECOND, &mut out);
+    assert!(grants(&out).iter().all(|grant| grant.lease_us == 0), "{:?}", grants(&out));
+    publisher.publish(START + SECOND, purge(1, START - 60 * SECOND));
+    publisher.behind(None);
+    receive(&mut publisher, START + SECOND, heartbeat(2, Some(head)));
+    let mut out = Vec::new();
+    publisher.tick(START + 2 * SECOND, &mut out);
+    assert_eq!(grants(&out).iter().map(|grant| grant.lease_us).collect::<Vec<_>>(), [0]);
+    let head = publisher.published();
+    receive(&mut publisher, START + 2 * SECOND, heartbeat(3, Some(head)));
+    let mut out = Vec::new();
+    publisher.tick(START + 3 * SECOND, &mut out);
+    assert!(grants(&out)[0].lease_us > 0);
+}
+
+/// Members that were told a stamp, and members that read it from the wire, keep one order: else a snapshot that another
+/// member continues would pass over some.
+#[test]
+fn all_members_keep_purges_in_the_same_order() {
+    let told = [(9, 1_200), (1, 1_500), (5, 1_900)].map(|(object, stamp)| purge(object, START + stamp));
+    let read = wire::unpack(&packed(&told)).unwrap();
+    let listed = |events: &[Event]| {
+        let mut set = PurgeSet::new(10, SECOND);
+        for Event::Purge(purge) in events {
+            set.insert(*purge);
+        }
+        set.after(None).collect::<Vec<_>>()
+    };
+    assert_eq!(listed(&told), listed(&read));
+}
+
+#[test]
+fn a_stamp_out_of_bounds_does_not_make_a_batch_unreadable() {
+    for stamp in [i64::MAX, i64::MIN] {
+        assert_eq!(wire::unpack(&packed(&[purge(1, stamp), purge(2, START)])).unwrap().len(), 2);
+    }
+}
+
+#[test]
+fn a_floor_out_of_bounds_is_dropped() {
+    let mut front = front(1);
+    let request = heartbeat_of(&mut front, START).expect("a heartbeat").request;
+    let part = SnapshotPart { at: place(5, 7), request, floor: Some(i64::MAX), ..SnapshotPart::default() };
+    tell(&mut front, START, Body::SnapshotPart(part));
+    front.tick(START + SECOND, &mut Vec::new());
+    assert_eq!(front.status(START).floor, None);
+    assert_eq!(front.status(START).counters.rejected[Rejected::Bounds as usize], 1);
+}
+
+/// What a relay still holds of a former epoch is sent, also to one that could go on without it.
+#[test]
+fn the_rest_of_a_former_epoch_is_sent_first() {
+    let mut log = EventLog::new(10_000, PurgeSet::new(1_000, 900 * SECOND));
+    log.begin(Epoch(1), None);
+    let events: Vec<Event> = (0..5).map(|object| purge(object, START)).collect();
+    log.append(START, &events, packed(&events));
+    let follows = LogPosition { epoch: Epoch(1), position: 2 };
+    log.begin(Epoch(2), Some(follows));
+    let from = |position| LogPosition { position, ..follows };
+    assert!(matches!(log.next_after(from(3)), Next::Batch { epoch: Epoch(1), .. }));
+    assert_eq!(log.next_after(from(5)), Next::Epoch { epoch: Epoch(2), follows });
+}
+
+/// A relay that received an event late leaves its subscribers no more time with it than the publisher would.
+#[test]
+fn lag_counts_from_publication() {
+    let plan = plan(2);
+    let me = identity("relay-1", 1);
+    let mut relay = Relay::new(plan.clone(), RelayPlan::default(), me, START, 1);
+    let mut out = Vec::new();
+    relay.tick(START, &mut out);
+    let request = bodies(&out)
+        .into_iter()
+        .find_map(|body| match body {
+            Body::Heartbeat(heartbeat) => Some(heartbeat.request),
+            _ => None,
+        })
+        .expect("the first heartbeat");
+    let mut tell = |now, body| relay.receive(now, &wire::write(FLEET, body), &mut Vec::new());
+    tell(START, Body::SnapshotPart(SnapshotPart { at: place(5, 7), request, ..SnapshotPart::default() }));
+    let mut out = Vec::new();
+    relay.tick(START + MILLISECOND, &mut out);
+    let request = bodies(&out).into_iter().find_map(|body| match body {
+        Body::Heartbeat(heartbeat) => Some(heartbeat.request),
+        _ => None,
+    });
+    let lease_us = plan.lease as u32;
+    let grant = Some(Grant { request: request.expect("a heartbeat"), lease_us, hops: 0 });
+    let events = packed(&[purge(1, START)]);
+    let late = Batch { epoch: 5, first: 7, head: 8, events, grant, age_ms: 590, ..Batch::default() };
+    let mut tell = |now, body| relay.receive(now, &wire::write(FLEET, body), &mut Vec::new());
+    tell(START + 2 * MILLISECOND, Body::Batch(late));
+    let behind = LogPosition { epoch: Epoch(5), position: 7 };
+    tell(START + 3 * MILLISECOND, Body::Heartbeat(heartbeat(1, Some(behind))));
+    let mut out = Vec::new();
+    relay.tick(START + 200 * MILLISECOND, &mut out);
+    assert_eq!(grants(&out).iter().map(|grant| grant.lease_us).collect::<Vec<_>>(), [0]);
+}
