Events: nothing is forgotten too early where a member's clock runs ahead

Change: what is kept is counted from the latest stamp, or the own clock where that is earlier. Result: a_clock_that_runs_ahead_forgets_nothing fails without, passes with it.

--- a/crates/events/src/publisher.rs
+++ b/crates/events/src/publisher.rs
@@ -210,12 +210,11 @@
 
     /// What was told since the last batch, without what says nothing new: a service tells again what it told before a start.
     fn cut_batches(&mut self, now: Micros) {
-        let oldest = now - self.plan.keep;
         let mut packer = Packer::default();
         let mut events: Vec<Event> = Vec::new();
         for Pending { event, told } in std::mem::take(&mut self.pending) {
             let Event::Purge(purge) = event;
-            if purge.stamp < oldest {
+            if self.log.purges.kept_from(now).is_some_and(|kept_from| purge.stamp < kept_from) {
                 continue;
             }
             let known = self.log.purges.stamp(purge.key).is_some_and(|stamp| stamp >= purge.stamp);
--- a/crates/events/src/purges.rs
+++ b/crates/events/src/purges.rs
@@ -18,11 +18,13 @@
     most: usize,
     keep: Micros,
     floor: Option<Micros>,
+    /// The latest stamp that was ever told.
+    newest: Option<Micros>,
 }
 
 impl PurgeSet {
     pub fn new(most: usize, keep: Micros) -> PurgeSet {
-        PurgeSet { stamps: BTreeMap::new(), order: BTreeSet::new(), most, keep, floor: None }
+        PurgeSet { stamps: BTreeMap::new(), order: BTreeSet::new(), most, keep, floor: None, newest: None }
     }
 
     pub fn len(&self) -> usize {
@@ -56,6 +58,7 @@
     pub fn insert(&mut self, purge: Purge) -> bool {
         let Purge { key, stamp } = purge;
         let stamp = as_sent(stamp);
+        self.newest = self.newest.max(Some(stamp));
         let known = self.stamps.get(&key).copied();
         if known.is_some_and(|known| known >= stamp) {
             return false;
@@ -80,11 +83,18 @@
         }
     }
 
-    /// Forgets those older than what is kept. `now` is Unix time, as stamps are.
+    /// Stamps before this one are no longer kept. `now` is Unix time, as stamps are; it is not believed beyond the latest
+    /// stamp: where a clock runs ahead of that of the service, nothing is forgotten too early.
+    pub fn kept_from(&self, now: Micros) -> Option<Micros> {
+        self.newest.map(|newest| newest.min(now) - self.keep)
+    }
+
+    /// Forgets those older than what is kept.
     pub fn expire(&mut self, now: Micros) {
-        self.floor = self.floor.filter(|floor| floor + self.keep >= now);
+        let Some(kept_from) = self.kept_from(now) else { return };
+        self.floor = self.floor.filter(|floor| *floor >= kept_from);
         while let Some(&(stamp, key)) = self.order.first() {
-            if stamp + self.keep >= now {
+            if stamp >= kept_from {
                 return;
             }
             self.order.remove(&(stamp, key));
--- a/crates/events/tests/regressions.rs
+++ b/crates/events/tests/regressions.rs
@@ -316,6 +316,23 @@
     assert_eq!(listed(&told), listed(&read));
 }
 
+/// Its clock is hours ahead of the one that stamps.
+#[test]
+fn a_clock_that_runs_ahead_forgets_nothing() {
+    let ahead = START + 5 * 3_600 * SECOND;
+    let mut publisher = Publisher::new(plan(1), RelayPlan::default(), identity("relay-0", 0), ahead, 1);
+    publisher.publish(ahead, purge(1, START));
+    publisher.tick(ahead + SECOND, &mut Vec::new());
+    publisher.tick(ahead + 2 * SECOND, &mut Vec::new());
+    assert_eq!(publisher.status(ahead).head.position, 1);
+    assert_eq!(publisher.status(ahead).purges, 1);
+    // Those that are old beside the latest one go.
+    publisher.publish(ahead, purge(2, START + 1_000 * SECOND));
+    publisher.tick(ahead + 3 * SECOND, &mut Vec::new());
+    publisher.tick(ahead + 4 * SECOND, &mut Vec::new());
+    assert_eq!(publisher.status(ahead).purges, 1);
+}
+
 #[test]
 fn a_stamp_out_of_bounds_does_not_make_a_batch_unreadable() {
     for stamp in [i64::MAX, i64::MIN] {
