--- /dev/null
+++ b/crates/front/tests/answers.rs
@@ -0,0 +1,81 @@
+//! Answers of caches in odd forms: faulty, in pieces, behind interim ones, or late behind another.
+
+use meadowrill_standins::*;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::Duration;
+
+#[test]
+fn bad_answers_never_reach_the_client_as_satisfied() {
+    let bad: [&[u8]; 6] = [
+        b"HTTP/1.1 200 OK\r\n\r\nno length",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfour",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 240001\r\n\r\nlong",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfour\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfour",
+        b"220 mail\r\n\r\n",
+    ];
+    for bytes in bad {
+        let cache = Cache::start(Does::Closes(bytes.to_vec()));
+        let (program, _journal) = Program::simple(&cache);
+        let mut client = Client::new(&program);
+        assert_ne!(client.lookup(1, "map").code(), 0, "{}", String::from_utf8_lossy(bytes));
+    }
+    // What comes behind an answer makes the connection unclean: it is not used again.
+    let cache =
+        Cache::start(Does::Answers("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfourextra".into(), vec![]));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    let answer = client.lookup(1, "map");
+    assert_eq!((answer.code(), answer.parts().1), (0, &b"four"[..]));
+    cache.end(cache.request().0);
+}
+
+#[test]
+fn interim_answers_are_skipped_in_pieces_too_but_not_for_ever() {
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    let good = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n";
+    let cache = Cache::start(Does::Answers(format!("{interim}{good}"), b"fine".to_vec()));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    for stream in 1..=3 {
+        let answer = client.lookup(stream, "map");
+        assert_eq!((answer.code(), answer.parts().1), (0, &b"fine"[..]));
+    }
+    cache.does(Does::Answers(format!("{}{good}", interim.repeat(50)), b"late".to_vec()));
+    assert_ne!(client.lookup(4, "map").code(), 0);
+}
+
+#[test]
+fn what_comes_late_behind_an_answer_is_never_the_next_answer() {
+    // The copy comes on its own, after the answer has been passed on.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let journal = Journal::start();
+    let program = Program::start(&config(&[("s-a", address)], journal.address));
+    let (tell, go) = channel::<()>();
+    let service = thread::spawn(move || {
+        for (number, mut stream) in listener.incoming().flatten().take(2).enumerate() {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            let mut line = String::new();
+            while matches!(reader.read_line(&mut line), Ok(n) if n > 2) {
+                line.clear();
+            }
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nno {number}");
+            stream.write_all(answer.as_bytes()).unwrap();
+            go.recv().unwrap();
+            stream.write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    let mut client = Client::new(&program);
+    for stream in [1, 2] {
+        let answer = client.lookup(stream, "map");
+        assert_eq!((answer.code(), answer.parts().1), (0, format!("no {}", stream - 1).as_bytes()));
+        tell.send(()).unwrap();
+        // Long enough for a kept connection to be thought fit for use, had nothing come on it.
+        thread::sleep(Duration::from_millis(50));
+    }
+    service.join().unwrap();
+}
--- /dev/null
+++ b/crates/front/tests/limits.rs
@@ -0,0 +1,133 @@
+//! The limits on descriptors and memory, with clients that are many, slow, silent or hold on.
+
+use meadowrill_standins::*;
+use serde_json::json;
+use std::io::Write;
+use std::thread;
+use std::time::Duration;
+
+#[test]
+fn at_the_ceiling_of_descriptors_all_are_answered() {
+    let caches = [(); 3].map(|()| Cache::start(Does::Nothing));
+    let journal = Journal::start();
+    let named: Vec<_> = ["s-a", "s-b", "s-c"].into_iter().zip(caches.iter().map(|c| c.address)).collect();
+    let mut config = config(&named, journal.address);
+    config["limits"]["sockets"] = json!(64);
+    let mut program = Program::start(&config);
+    // More connections than clients may have, and more sends than there is room for.
+    let mut clients: Vec<Client> = (0..60).map(|_| Client::new(&program)).collect();
+    for (ix, client) in clients.iter_mut().enumerate() {
+        for stream in 1..=4 {
+            let slice = (ix as u32 * 4 + stream).to_string();
+            client.write(&ask(stream, "map", &[("limit", "1000"), ("slice", &slice)], b""));
+        }
+    }
+    for (ix, mut client) in clients.into_iter().enumerate() {
+        let mut streams: Vec<u32> = (0..4).map(|_| client.answer().stream).collect();
+        streams.sort_unstable();
+        assert_eq!(streams, [1, 2, 3, 4]);
+        if ix == 0 {
+            caches.iter().for_each(|cache| cache.does(ok(b"fine")));
+        }
+        let open = program.descriptors();
+        assert!(open <= 64, "{open} descriptors");
+    }
+    assert!(program.alive());
+    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+}
+
+#[test]
+fn clients_that_hold_on_or_say_nothing_keep_nobody_out() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["sockets"] = json!(64);
+    let program = Program::start(&config);
+    // More than there are places: each asks once and stays, or stays silent, or never ends a frame.
+    let mut held: Vec<Client> = Vec::new();
+    for round in 0..60 {
+        let mut client = Client::new(&program);
+        match round % 3 {
+            0 => assert_eq!(client.lookup(1, "map").code(), 0),
+            1 => client.write(&[9, 0, 0]),
+            _ => {}
+        }
+        held.push(client);
+    }
+    let mut last = Client::new(&program);
+    assert_eq!(last.lookup(1, "map").code(), 0);
+    // Whoever says nothing or half a frame is told and let go in good time.
+    let start = now_ms();
+    let mut silent = Client::new(&program);
+    silent.write(&[9, 0, 0]);
+    while silent.hear().is_some() {}
+    assert!(now_ms() - start < 3000);
+    assert_eq!(last.lookup(2, "map").code(), 0);
+}
+
+#[test]
+fn a_client_that_never_reads_is_cut_off() {
+    let cache = Cache::start(ok(&vec![9; 240_000]));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["settings"]["classes"][0]["deadline_s"] = json!(0.2);
+    config["settings"]["classes"][1]["deadline_s"] = json!(0.2);
+    let program = Program::start(&config);
+    let mut client = Client::slow(&program);
+    for stream in 1..=32 {
+        client.write(&ask(stream, "map", &[("limit", "200")], b""));
+        cache.request();
+    }
+    let start = now_ms();
+    while client.0.write_all(&frame(80, 0, &[0])).is_ok() {
+        assert!(now_ms() - start < HANG.as_millis(), "still connected");
+        thread::sleep(Duration::from_millis(20));
+    }
+    let mut other = Client::new(&program);
+    other.write(&ask(1, "map", &[("limit", "200")], b""));
+    assert_eq!(other.answer().code(), 0);
+}
+
+#[test]
+fn slow_readers_fill_no_more_memory_than_there_is() {
+    let body = vec![9; 240_000];
+    let cache = Cache::start(ok(&body));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["memory_mb"] = json!(32);
+    config["settings"]["classes"][0]["deadline_s"] = json!(60.0);
+    let mut program = Program::start(&config);
+    let mut slow: Vec<Client> = (0..8).map(|_| Client::slow(&program)).collect();
+    let mut other = Client::new(&program);
+    let mut asked = 0;
+    // The other is nacked at the latest when rings are full.
+    let full = (1..=32).any(|stream| {
+        for client in &mut slow {
+            client.write(&ask(stream, "map", &[("limit", "60000")], b""));
+        }
+        asked = stream;
+        other.write(&ask(stream, "map", &[("limit", "1000")], b""));
+        other.answer().code() == 11
+    });
+    assert!(full, "{asked} of each were kept somewhere");
+    // From then on at once, whatever time there is. The kernel may take up a little of a ring now and then, and one
+    // more is let in for it.
+    let codes: Vec<u8> = (1..=4).map(|more| other.lookup(asked + more, "map").code()).collect();
+    assert!(codes.iter().filter(|code| **code == 11).count() >= 2, "{codes:?}");
+    let peak = program.peak_kb();
+    assert!(peak < 32_000, "{peak} kB");
+    // All of them come in the end, and whole, also those that had to wait at the caches; then there is room.
+    thread::scope(|scope| {
+        for client in &mut slow {
+            let body = &body;
+            scope.spawn(move || {
+                for _ in 1..=asked {
+                    let answer = client.answer();
+                    assert!(answer.code() == 11 || answer.parts().1 == body);
+                }
+            });
+        }
+    });
+    assert!((asked + 5..10_000).any(|stream| other.lookup(stream, "map").code() == 0));
+    assert!(program.alive());
+}
--- /dev/null
+++ b/crates/front/tests/sends.rs
@@ -0,0 +1,58 @@
+//! Sends that bring no service: what their end proves, and what the client is told then.
+
+use meadowrill_standins::*;
+use std::net::TcpListener;
+
+#[test]
+fn only_proof_that_nothing_ran_frees_a_send_that_must_not_run_twice() {
+    // Proofs: a nack, and no second send needed. The machine that refuses connections is one that has gone.
+    for proof in ["503 Full\r\nX-Not-Run: 1", "504 Over\r\nX-Not-Run: 1", "404 Not Found"] {
+        let cache = Cache::start(says(proof, "", b""));
+        let (program, _journal) = Program::simple(&cache);
+        assert_eq!(Client::new(&program).lookup(1, "order").code(), 11, "{proof}");
+    }
+    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let journal = Journal::start();
+    let program = Program::start(&config(&[("s-a", gone)], journal.address));
+    assert_eq!(Client::new(&program).lookup(1, "order").code(), 11);
+    // No proof: one send, and failed.
+    let cut = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf".to_vec();
+    let none = [
+        says("500 Error", "", b""),
+        says("503 Full", "", b""),
+        says("418 Other", "", b""),
+        Does::Closes(Vec::new()),
+        Does::Closes(cut),
+    ];
+    for does in none {
+        let cache = Cache::start(does);
+        let (program, _journal) = Program::simple(&cache);
+        assert_eq!(Client::new(&program).lookup(1, "order").code(), 5);
+        cache.request();
+        assert!(!cache.seen.try_iter().any(|seen| matches!(seen, Seen::Request(..))));
+    }
+}
+
+#[test]
+fn a_kept_connection_that_closes_under_a_send_proves_nothing() {
+    let cache = Cache::start(ok(b"one"));
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    assert_eq!(client.lookup(1, "order").code(), 0);
+    cache.does(Does::Closes(Vec::new()));
+    assert_eq!(client.lookup(2, "order").code(), 5);
+}
+
+#[test]
+fn a_silent_machine_ends_in_an_answer_before_the_client_gives_up() {
+    let cache = Cache::start(Does::Nothing);
+    let (program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    let start = now_ms();
+    client.write(&ask(1, "map", &[("limit", "400")], b""));
+    assert_eq!(client.answer().code(), 11);
+    assert!((400..2000).contains(&(now_ms() - start)));
+    cache.end(cache.request().0);
+    client.write(&ask(2, "order", &[("limit", "400")], b""));
+    assert_eq!(client.answer().code(), 5);
+}
--- a/crates/standins/src/journal.rs
+++ b/crates/standins/src/journal.rs
@@ -1,7 +1,7 @@
 //! The journal service: whoever greets it is handed to the test.
 
 use crate::HANG;
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver};
@@ -9,6 +9,12 @@
 use std::thread;
 use std::time::Duration;
 
+/// The line of an event that tells what has changed in the list of caches.
+pub fn hosts(pos: u64, members: &Value) -> String {
+    let hosts = json!({"revision": pos, "complete": false, "members": members});
+    format!("{}\n", json!({"pos": pos, "hosts": hosts}))
+}
+
 pub struct Journal {
     pub address: SocketAddr,
     greeted: Receiver<(String, TcpStream)>,
