--- a/crates/front/tests/process.rs
+++ b/crates/front/tests/process.rs
@@ -1,8 +1,10 @@
 //! The program as a process: how it starts, follows one that was killed, logs and ends.
 
+use meadowrill_standins::program::own_address;
 use meadowrill_standins::*;
 use serde_json::json;
 use std::io::Write;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_faulty_configuration_ends_with_the_name_of_the_key() {
@@ -58,3 +60,35 @@
         assert!(program.child.wait().unwrap().success());
     }
 }
+
+/// How soon the platform wants a front to be ready.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+#[test]
+fn one_killed_behind_an_accept_is_followed_at_its_address_by_one_that_serves_in_time() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let folder = tempfile::tempdir().unwrap();
+    let settings = format!("operators {{ socket: \"{}\" }}", folder.path().join("operators").display());
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["listen"] = json!(format!("{}:0", own_address()));
+    let mut killed = Program::with_settings(&config, &settings);
+    config["listen"] = json!(killed.address.to_string());
+    journal.greeting();
+    assert_eq!(Client::new(&killed).lookup(1, "map").code(), 0);
+    let mut held = Client::new(&killed);
+    // It has been accepted once it is answered; then half a request comes, and the front is gone.
+    assert_eq!(held.ready(), 0);
+    held.write(&ask(1, "map", &[], b"")[..20]);
+    killed.kill();
+    let start = Instant::now();
+    let successor = Program::with_settings(&config, &settings);
+    assert_eq!(successor.address, killed.address);
+    let mut client = Client::new(&successor);
+    assert_eq!(client.ready(), 0);
+    assert_eq!(client.lookup(1, "map").code(), 0);
+    assert!(start.elapsed() < READY_WITHIN, "{:?}", start.elapsed());
+    assert_eq!(journal.greeting().0, "tail 1\n");
+    // The one that was accepted has heard of its end, and is still there on the client's side until here.
+    assert_eq!(held.hear(), None);
+}
--- a/crates/front/tests/reload.rs
+++ b/crates/front/tests/reload.rs
@@ -1,8 +1,10 @@
 //! A new configuration under way: what it changes takes effect, and nothing else is disturbed by it.
 
+use meadowrill_standins::journal::Speaking;
 use meadowrill_standins::*;
 use serde_json::json;
 use std::io::Write;
+use std::time::{Duration, Instant};
 
 #[test]
 fn a_signal_to_reload_moves_the_journal_and_keeps_all_else() {
@@ -35,3 +37,126 @@
     program.signal("-HUP");
     assert!(program.child.wait().unwrap().success());
 }
+
+/// How long after a drain was told requests may still go to the machine: by the settings, and 50 ms more on sockets.
+const GRACE: Duration = Duration::from_millis(1000 + 50);
+
+/// One client that asks for another object each time.
+struct Asker {
+    client: Client,
+    stream: u32,
+}
+
+impl Asker {
+    fn ask(&mut self) {
+        self.stream += 1;
+        let item = format!("{:016x}", self.stream);
+        self.client.write(&ask(self.stream, "map", &[("item", &item)], b""));
+        assert_eq!(self.client.answer().code(), 0);
+    }
+}
+
+/// The heads of the requests that have come to a cache since the last call.
+fn heads(cache: &Cache) -> Vec<String> {
+    let head = |seen| match seen {
+        Seen::Request(_, head, _) => Some(head),
+        Seen::End(_) => None,
+    };
+    cache.seen.try_iter().filter_map(head).collect()
+}
+
+fn names_source(heads: &[String], id: &str) -> bool {
+    heads.iter().any(|head| header(head, "Upstream") == Some(id))
+}
+
+#[test]
+fn a_drain_told_as_the_journal_moves_is_heeded_within_its_grace() {
+    for told_before in [true, false] {
+        drains_as_the_journal_moves(told_before);
+    }
+}
+
+fn drains_as_the_journal_moves(told_before: bool) {
+    let (draining, staying) = (Cache::start(ok(b"fine")), Cache::start(ok(b"fine")));
+    let (former, next) = (Speaking::start(), Speaking::start());
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let caches = [("s-a", draining.address), ("s-b", staying.address)];
+    let site = Site { caches: &caches, parent: nowhere, origin: nowhere, journal: former.address };
+    let mut config = site.config();
+    config["settings"]["guarantees"]["drain_grace_s"] = json!(1.0);
+    let members = &mut config["known"]["entries"][0]["hosts"]["members"];
+    members.as_array_mut().unwrap().push(member("s-q", "parent", nowhere, "SERVING"));
+    let program = Program::start(&config);
+    let mut asker = Asker { client: Client::new(&program), stream: 0 };
+    // Both are in use before, as cache and as source.
+    let (mut asked, mut named) = (false, false);
+    until(HANG, "both machines in use", || {
+        asker.ask();
+        let at_draining = heads(&draining);
+        asked |= !at_draining.is_empty();
+        named |= names_source(&at_draining, "s-p") || names_source(&heads(&staying), "s-p");
+        asked && named
+    });
+    config["journal"] = json!(next.address.to_string());
+    let cache = member("s-a", "std", draining.address, "DRAINING");
+    let source = member("s-p", "parent", nowhere, "DRAINING");
+    let drain = json!({"hosts": {"revision": 2, "complete": false, "members": [cache, source]}});
+    let told = Instant::now();
+    if told_before {
+        next.tell(drain);
+        program.reload(&config.to_string());
+    } else {
+        program.reload(&config.to_string());
+        next.tell(drain);
+    }
+    while told.elapsed() < GRACE {
+        asker.ask();
+    }
+    // All that was sent so far has come, as each lookup has been answered.
+    heads(&draining);
+    heads(&staying);
+    (0..500).for_each(|_| asker.ask());
+    let late = heads(&draining);
+    assert!(late.is_empty(), "told before: {told_before}: {} requests, first {}", late.len(), late[0]);
+    let at_staying = heads(&staying);
+    assert!(!names_source(&at_staying, "s-p"), "told before: {told_before}");
+    assert!(names_source(&at_staying, "s-q"));
+}
+
+/// One byte at a time; each has been read before the next is written, as another client was answered in between.
+fn write_in_pieces(client: &mut Client, other: &mut Client, bytes: &[u8]) {
+    for byte in bytes {
+        client.write(&[*byte]);
+        assert_eq!(other.ready(), 0);
+    }
+}
+
+#[test]
+fn a_request_in_pieces_across_a_reload_is_answered_once_and_for_good() {
+    let cache = Cache::start(ok(b"whole"));
+    let (mut followed, mut next) = (Journal::start(), Journal::start());
+    let mut config = config(&[("s-a", cache.address)], followed.address);
+    let program = Program::start(&config);
+    followed.greeting();
+    let mut other = Client::new(&program);
+    let request = ask(1, "order", &[], b"body");
+    // Within the length, behind the head, within the fields, before the last byte.
+    for cut in [2, 9, request.len() / 2, request.len() - 1] {
+        let mut client = Client::new(&program);
+        write_in_pieces(&mut client, &mut other, &request[..cut]);
+        config["journal"] = json!(next.address.to_string());
+        program.reload(&config.to_string());
+        // By then the reload is over.
+        next.greeting();
+        write_in_pieces(&mut client, &mut other, &request[cut..]);
+        let answer = client.answer();
+        assert_eq!((answer.kind, answer.stream, answer.code()), (66, 1, 0), "cut at {cut}");
+        assert_eq!(answer.parts().1, b"whole");
+        // Nothing comes behind it but what is asked next.
+        assert_eq!((client.ready(), client.ready()), (0, 0));
+        let (_, head, body) = cache.request();
+        assert!(head.contains("X-Req: 0000000000000001") && body == b"body", "{head}");
+        assert!(!cache.came(1), "sent again, cut at {cut}");
+        std::mem::swap(&mut followed, &mut next);
+    }
+}
