A front that is up and serves nobody shows it by readiness, two log lines and a metric

Cause: with no machine in the list, none that accepts a connection, or none that takes a request, the front refused each lookup and went on answering that it is ready; nothing in its log or metrics told that it served nobody.

Change: front/availability.rs counts lookups that were refused since a machine last took a request, that is, since the last byte of one was written to a connection that the machine accepted and it was not refused as full. With 20 of them, over 10 s and never 5 s apart, and no request taken meanwhile that is still open, an outage begins: type 80 is answered with not ready, one warning is logged, and the metric meadowrill_front_serves_nobody is 1, with the time since when. It ends with the first request taken. As only lookups can show that, after 5 s without any the front answers that it is ready again until the next is refused. Lookups that cannot be used and those of clients that have gone do not count. Silent, failing and missing machines are no outage. Starts are ready as before; the decisions are unchanged.

Measured: 10 of 10 runs in a row of availability.rs pass, and all tests of the front and the stand-ins once. Taken out or changed one at a time, each made a test fail: the readiness, the end by service, the metric, the log's end, full counted as taken, open requests not counted, the trial after the pause, an outage of 6 s, and each kind of lookup left out.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -2,6 +2,7 @@
 //! decides nothing: time limits are those that the module or the settings give.
 
 mod actions;
+pub(crate) mod availability;
 mod clock;
 mod fleet;
 mod list;
@@ -10,6 +11,7 @@
 mod passage;
 mod shared;
 
+use self::availability::Availability;
 use self::clock::{Clock, Timer};
 use self::lookups::{Effect, Taken};
 use crate::config::Config;
@@ -70,6 +72,7 @@
     door: Door,
     names: Names,
     metrics: Metrics,
+    availability: Availability,
     operators: Option<Operators>,
     /// The others of the fleet, where the settings tell of one, and when its view wants to be asked next.
     fronts: Option<Fronts>,
@@ -137,6 +140,7 @@
             door: Door::new(config.own.turns.clone(), &kinds, bounds, config.seed, now),
             names: Names::new(&config.own.turns, config.seed),
             metrics: Metrics::default(),
+            availability: Availability::default(),
             operators: operators.transpose()?,
             fronts: fronts.transpose()?,
             fleet_at: 0,
@@ -298,11 +302,11 @@
             Key::Report => report::log(&self.log, &self.door.report()),
             Key::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.poll)),
             Key::Operator(number) => {
-                let (door, metrics) = (&self.door, &self.metrics);
+                let (door, metrics, availability) = (&self.door, &self.metrics, &self.availability);
                 let (calls, counts, fronts) = (&self.poll.calls, self.counts, &self.fronts);
                 let tell = |word: &str| match word {
                     "turns" => report::table(&door.report()),
-                    "metrics" => metrics.text(door, fronts.as_ref()),
+                    "metrics" => metrics.text(door, availability, fronts.as_ref()),
                     "fleet" | "fleet json" => match (fronts, word) {
                         (None, _) => "no fleet in the settings\n".to_string(),
                         (Some(fronts), "fleet") => report::fleet::table(fronts.view(), now),
@@ -414,6 +418,7 @@
         self.clients.sweep(now, &mut self.poll);
         self.follow(now, |journal, poll, news| journal.keep_up(now, poll, news));
         if !self.ending {
+            self.check_availability(now);
             self.keep(now);
         }
         self.timers.push(Reverse((now + TICK, Timer::Tick)));
--- a/crates/front/src/front/lookups.rs
+++ b/crates/front/src/front/lookups.rs
@@ -21,6 +21,8 @@
     pub(super) kind: usize,
     pub(super) expires: Micros,
     pub(super) owed: bool,
+    /// A refusal of it counts: the settings allow it, and its client has not ended its side.
+    pub(super) counts: bool,
     /// Its place at the door or behind it, until it was answered or has left.
     pub(super) place: Option<Ticket>,
     pub(super) done: Done,
@@ -77,6 +79,7 @@
             kind,
             expires,
             owed: true,
+            counts: usable.is_ok(),
             place: None,
             done,
             sends,
@@ -129,7 +132,13 @@
     }
 
     pub(super) fn answer(&mut self, lookup: u32, answer: (u8, &[(&str, &str)], &[u8]), now: Micros) {
+        let counts = self.lookups.get(&lookup).is_some_and(|taken| taken.counts);
         if let Some((client, stream)) = self.answered(lookup, now) {
+            match answer.0 {
+                frame::SATISFIED => self.saw_service(now),
+                _ if counts => self.saw_refusal(now),
+                _ => {}
+            }
             self.clients.answer((client, stream, lookup), answer, now, &self.poll);
         }
     }
@@ -153,6 +162,7 @@
     /// what they have not heard of is refused here.
     pub(super) fn half_closed(&mut self, lookup: u32, now: Micros) {
         let Some(taken) = self.lookups.get_mut(&lookup).filter(|t| t.owed) else { return };
+        taken.counts = false;
         let waits = taken.place.as_ref().is_some_and(|place| self.door.waits(place));
         if waits || taken.effect == Effect::Asking {
             if let Some(place) = taken.place.take() {
--- a/crates/front/src/front/outcomes.rs
+++ b/crates/front/src/front/outcomes.rs
@@ -29,7 +29,8 @@
         self.spare.connected = connected;
     }
 
-    pub(super) fn end(&mut self, Ended { out, peer, result, conn }: &Ended, now: Micros) {
+    pub(super) fn end(&mut self, ended: &Ended, now: Micros) {
+        let Ended { out, peer, result, conn } = ended;
         let Some(taken) = self.lookups.get_mut(&out.lookup) else { return };
         if let Some(send) = taken.sends.get_mut(usize::from(out.send)) {
             *send = None;
@@ -90,6 +91,9 @@
         if self.shares() {
             self.saw_end(&outcome);
         }
+        if ended.taken(ending) {
+            self.saw_service(now);
+        }
         outcome.finished = self.lookups.get(&out.lookup).is_none_or(|taken| !taken.owed);
         self.events.push(Event::Ended(outcome));
         self.settle(out.lookup);
--- a/crates/front/src/net/caches.rs
+++ b/crates/front/src/net/caches.rs
@@ -49,6 +49,16 @@
     pub result: Result<http::Answer, Fault>,
 }
 
+impl Ended {
+    /// Whether the machine took the request; one that says that it is full did not.
+    pub fn taken(&self, ending: Ending) -> bool {
+        match &self.result {
+            Ok(_) => ending != Ending::TurnedAway,
+            Err(fault) => fault.reach.taken(),
+        }
+    }
+}
+
 struct Conn {
     link: Link,
     peer: PeerIx,
@@ -306,6 +316,11 @@
         self.out(number, serial) && self.conns.get(&number).is_some_and(|c| !c.cleared)
     }
 
+    /// Whether a machine has taken a request that was sent since then, and has not answered it yet.
+    pub fn any_taken(&self, since: Micros) -> bool {
+        self.conns.values().any(|conn| conn.out.is_some_and(|out| out.at >= since) && conn.reach().taken())
+    }
+
     /// Ends a send and its connection, if it is still out there.
     pub fn fail(&mut self, number: u64, serial: u64, cause: Cause, poll: &Poll) {
         let Some(conn) = self.conns.get(&number) else { return };
--- a/crates/front/src/net/clients.rs
+++ b/crates/front/src/net/clients.rs
@@ -182,8 +182,9 @@
     most_draining: usize,
     patience: Micros,
     lookups: u32,
-    /// Whether the front says that it is ready.
+    /// Whether the front says that it is ready, unless it serves nobody.
     pub ready: bool,
+    pub available: bool,
     /// Where state is shared: whether it was there when the front became ready.
     pub caught_up: Option<bool>,
     /// The front is ending: nothing new is taken.
@@ -210,6 +211,7 @@
             patience,
             lookups: 0,
             ready: true,
+            available: true,
             caught_up: None,
             closing: false,
             who: Who::default(),
@@ -324,7 +326,7 @@
             Some(false) => &[("caught_up", "0")],
             None => &[],
         };
-        let ready = self.ready;
+        let ready = self.ready && self.available;
         let says = Says { number, ready, ready_fields, who: &self.who, lookups, spare, heard };
         let done = Clients::read(client, says, now, poll);
         if matches!(done, Ok(true)) {
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -345,6 +345,13 @@
     Answering,
 }
 
+impl Reach {
+    /// Whether the machine has taken the request: its last byte was written to a connection that it accepted.
+    pub fn taken(self) -> bool {
+        matches!(self, Reach::Written | Reach::Answering)
+    }
+}
+
 /// Why a send failed.
 #[derive(Debug)]
 pub enum Cause {
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -1,9 +1,11 @@
 //! What operators are told of the door: a table, lines for the log, and metrics. Names in them are bounded: tenants
 //! are those of the settings, clients the loudest few of each.
 
+pub mod availability;
 pub mod fleet;
 pub mod shared;
 
+use crate::front::availability::Availability;
 use crate::net::fronts::Fronts;
 use meadowrill_turns::door::{Door, Report, Why};
 use prometheus_client::collector::Collector;
@@ -48,7 +50,7 @@
     }
 
     /// In the text format that scrapers read.
-    pub fn text(&self, door: &Door, fronts: Option<&Fronts>) -> String {
+    pub fn text(&self, door: &Door, availability: &Availability, fronts: Option<&Fronts>) -> String {
         let mut registry = Registry::with_prefix("meadowrill_door");
         registry.register(
             "wait_seconds",
@@ -56,7 +58,9 @@
             self.waits.clone(),
         );
         registry.register_collector(Box::new(Seen(door.report())));
-        let mut registries = vec![registry];
+        let mut own = Registry::with_prefix("meadowrill_front");
+        own.register_collector(Box::new(availability::Seen::new(availability)));
+        let mut registries = vec![registry, own];
         if let Some(fronts) = fronts {
             let mut registry = Registry::with_prefix("meadowrill_fleet");
             registry.register_collector(Box::new(fleet::Seen::new(fronts)));
