--- /dev/null
+++ b/crates/settings/src/events.rs
@@ -0,0 +1,110 @@
+//! `fleet { region events { ... } relay { ... } }`: how events come from relays, and what a relay does.
+
+use super::{address, fault, Faulty, Fleet, Node};
+use meadowrill_events::plan::{Faulty as PlanFaulty, Plan, RelayAddress, RelayPlan, TEXT_MOST};
+use meadowrill_events::plan::{MILLISECOND, SECOND};
+use meadowrill_events::Micros;
+use std::net::SocketAddr;
+
+/// What a relay process is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Relay {
+    /// Which of the relays of the plan it is.
+    pub name: String,
+    pub plan: RelayPlan,
+    /// Where its events come from, if it is the one that publishes.
+    pub publish: Option<Publish>,
+}
+
+/// The journal service whose events are published.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Publish {
+    pub journal: SocketAddr,
+    /// Number of the last event that need not be told.
+    pub after: u64,
+}
+
+/// Region of this front or relay.
+pub(super) fn region(fleet: &Node, text: &str) -> Result<String, Faulty> {
+    let region = fleet.text("region").unwrap_or_default();
+    if region.len() > TEXT_MOST {
+        let what = format!("is longer than {TEXT_MOST} bytes");
+        return Err(fault(text, fleet.key("region"), what));
+    }
+    Ok(region)
+}
+
+/// How events come from relays, if they do.
+pub(super) fn plan(fleet: &Node, members: &Fleet, text: &str) -> Result<Option<Plan>, Faulty> {
+    let Some(node) = fleet.node("events") else { return Ok(None) };
+    let relays = node.nodes("relay");
+    let relays = relays.iter().map(|relay| relay_address(relay, text)).collect::<Result<Vec<_>, _>>()?;
+    let usual = Plan::new(members.number(), relays);
+    let span = |key: &str, unit: Micros, usual: Micros| node.count(key).map_or(usual, |n| n as Micros * unit);
+    let plan = Plan {
+        batch: span("batch_ms", MILLISECOND, usual.batch),
+        heartbeat: span("heartbeat_ms", MILLISECOND, usual.heartbeat),
+        retry: span("retry_ms", MILLISECOND, usual.retry),
+        tries: node.count("tries").map_or(usual.tries, |n| n as u32),
+        lease: span("lease_ms", MILLISECOND, usual.lease),
+        lag_most: span("lag_most_ms", MILLISECOND, usual.lag_most),
+        copy_age: span("copy_age_ms", MILLISECOND, usual.copy_age),
+        keep: span("keep_s", SECOND, usual.keep),
+        purges_most: node.count("purges_most").unwrap_or(usual.purges_most),
+        ..usual
+    };
+    plan.check().map_err(|faulty: PlanFaulty| fault(text, node.key(faulty.key), faulty.what))?;
+    Ok(Some(plan))
+}
+
+fn relay_address(node: &Node, text: &str) -> Result<RelayAddress, Faulty> {
+    let told = node.text("address").unwrap_or_default();
+    let address = address(text, node.key("address"), &told)?;
+    if address.ip().is_unspecified() || address.port() == 0 {
+        let what = "is no address that others could reach";
+        return Err(fault(text, node.key("address"), what));
+    }
+    let word = |key: &str| node.text(key).unwrap_or_default();
+    Ok(RelayAddress {
+        name: word("name"),
+        address,
+        region: word("region"),
+        zone: word("zone"),
+        publishes: node.flag("publishes"),
+    })
+}
+
+/// What this process does as a relay, if it is to be one.
+pub(super) fn relay(fleet: &Node, events: Option<&Plan>, text: &str) -> Result<Option<Relay>, Faulty> {
+    let Some(node) = fleet.node("relay") else { return Ok(None) };
+    let Some(events) = events else {
+        return Err(fault(text, fleet.key("relay"), "is told, but no fleet.events"));
+    };
+    let name = node.text("name").unwrap_or_default();
+    let Some(listed) = events.relays.iter().find(|relay| relay.name == name) else {
+        let what = format!("{name:?} is none of fleet.events.relay");
+        return Err(fault(text, node.key("name"), what));
+    };
+    let usual = RelayPlan::default();
+    let plan = RelayPlan {
+        subscribers_most: node.count("subscribers_most").unwrap_or(usual.subscribers_most),
+        joins_per_s: node.count("joins_per_s").map_or(usual.joins_per_s, |n| n as u64),
+        snapshot_bytes_per_s: node
+            .count("snapshot_bytes_per_s")
+            .map_or(usual.snapshot_bytes_per_s, |n| n as u64),
+        window_bytes: node.count("window_bytes").unwrap_or(usual.window_bytes),
+    };
+    plan.check().map_err(|faulty: PlanFaulty| fault(text, node.key(faulty.key), faulty.what))?;
+    let publish = node.node("publish").map(|node| publish(&node, text)).transpose()?;
+    if publish.is_some() != listed.publishes {
+        let what = format!("does not agree with `publishes` of {name:?} in fleet.events.relay");
+        return Err(fault(text, node.key("publish"), what));
+    }
+    Ok(Some(Relay { name, plan, publish }))
+}
+
+fn publish(node: &Node, text: &str) -> Result<Publish, Faulty> {
+    let told = node.text("journal").unwrap_or_default();
+    let journal = address(text, node.key("journal"), &told)?;
+    Ok(Publish { journal, after: node.long_count("after").unwrap_or(0) })
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,9 +1,13 @@
 //! The settings file: protobuf text format after `proto/meadowrill.proto`. Read and checked whole; a fault names the
 //! key, the line and the reason.
 
+mod events;
 pub mod places;
 
+pub use events::{Publish, Relay};
+
 use ipnet::IpNet;
+use meadowrill_events::plan as distribution;
 use meadowrill_members::plan::{self as fleet, Plan as Fleet};
 use meadowrill_replica::plan as replica;
 use meadowrill_turns::plan::{ClientBy, Order, Plan, Tenant};
@@ -34,6 +38,12 @@
     pub turns: Plan,
     pub fleet: Option<Fleet>,
     pub replica: Option<Replica>,
+    /// Of this front or relay; empty if not told.
+    pub region: String,
+    /// How events come from relays.
+    pub events: Option<distribution::Plan>,
+    /// What a relay is to do; fronts do not look at it.
+    pub relay: Option<Relay>,
 }
 
 /// What is shared among the fronts, and where it is kept across starts.
@@ -116,6 +126,14 @@
         self.value(name)?.as_u32().map(|n| n as usize)
     }
 
+    fn long_count(&self, name: &str) -> Option<u64> {
+        self.value(name)?.as_u64()
+    }
+
+    fn flag(&self, name: &str) -> bool {
+        self.value(name).and_then(|v| v.as_bool()).unwrap_or(false)
+    }
+
     /// The number of an enum value; the first one where none was told.
     fn choice(&self, name: &str) -> i32 {
         self.value(name).and_then(|v| v.as_enum_number()).unwrap_or(0)
@@ -126,6 +144,11 @@
     Faulty { line: places::line_of(text, &key), key, what: what.into() }
 }
 
+/// An address with a port, as it was told for a key.
+fn address(text: &str, key: String, told: &str) -> Result<SocketAddr, Faulty> {
+    told.parse().map_err(|_| fault(text, key, format!("{told:?} is no address with a port")))
+}
+
 /// The text of a settings file.
 pub fn read(text: &str) -> Result<Settings, Faulty> {
     let no_schema = |e: &dyn fmt::Display| Faulty { key: "schema".into(), line: 0, what: e.to_string() };
@@ -168,6 +191,9 @@
             shared.plan.zone.clone_from(&plan.zone);
             settings.replica = Some(shared);
         }
+        settings.region = events::region(&node, text)?;
+        settings.events = events::plan(&node, &plan, text)?;
+        settings.relay = events::relay(&node, settings.events.as_ref(), text)?;
         settings.fleet = Some(plan);
     }
     Ok(settings)
@@ -205,16 +231,13 @@
 }
 
 fn others(fleet: &Node, text: &str) -> Result<Fleet, Faulty> {
-    let address = |key: String, told: &str| -> Result<SocketAddr, Faulty> {
-        told.parse().map_err(|_| fault(text, key, format!("{told:?} is no address with a port")))
-    };
     let listen = fleet.text("listen").unwrap_or_default();
-    let mut plan = Fleet::new(address(fleet.key("listen"), &listen)?);
+    let mut plan = Fleet::new(address(text, fleet.key("listen"), &listen)?);
     if let Some(told) = fleet.text("advertise") {
-        plan.advertise = address(fleet.key("advertise"), &told)?;
+        plan.advertise = address(text, fleet.key("advertise"), &told)?;
     }
     for (at, told) in fleet.texts("contact").iter().enumerate() {
-        plan.contacts.push(address(format!("{}[{at}]", fleet.key("contact")), told)?);
+        plan.contacts.push(address(text, format!("{}[{at}]", fleet.key("contact")), told)?);
     }
     plan.fleet = fleet.text("name").unwrap_or(plan.fleet);
     plan.zone = fleet.text("zone").unwrap_or(plan.zone);
--- a/crates/settings/src/places.rs
+++ b/crates/settings/src/places.rs
@@ -11,7 +11,12 @@
 
 /// All keys in the order of the text, each with its path; repeated ones are counted from 0.
 fn places(text: &str) -> Vec<Place> {
-    let repeated = |name: &str| ["tenant", "network", "value"].contains(&name);
+    let repeated = |within: &str, name: &str| match name {
+        "tenant" | "network" | "value" => true,
+        // `fleet.relay` is another message, told once.
+        "relay" => within == "fleet.events",
+        _ => false,
+    };
     let bytes = text.as_bytes();
     let (mut places, mut at, mut line) = (Vec::new(), 0, 1);
     // The paths of the messages that are open, and how often each key stood in them.
@@ -57,7 +62,8 @@
                     value = false;
                 } else if let Some((path, counts)) = open.last_mut() {
                     let count = counts.entry(name.to_string()).or_insert(0);
-                    let key = if repeated(name) { format!("{name}[{count}]") } else { name.to_string() };
+                    let key =
+                        if repeated(path, name) { format!("{name}[{count}]") } else { name.to_string() };
                     *count += 1;
                     last = if path.is_empty() { key } else { format!("{path}.{key}") };
                     places.push(Place { path: last.clone(), start, line });
@@ -70,12 +76,15 @@
     places
 }
 
-/// The line of a key; where it is not there, that of the nearest key around it, and 0 where there is none.
+/// The line of a key, of a repeated one as a whole that of the first; where it is not there, that of the nearest key
+/// around it, and 0 where there is none.
 pub fn line_of(text: &str, path: &str) -> usize {
     let places = places(text);
     let mut path = path;
     loop {
-        if let Some(place) = places.iter().find(|p| p.path == path) {
+        if let Some(place) =
+            places.iter().find(|p| p.path == path || p.path.strip_suffix("[0]") == Some(path))
+        {
             return place.line;
         }
         match path.rfind(['.', '[']) {
