--- a/crates/front/src/cli.rs
+++ b/crates/front/src/cli.rs
@@ -28,6 +28,12 @@
         #[arg(long, value_name = "FILE")]
         settings: Option<PathBuf>,
     },
+    /// Be a relay of numbered events, as the settings file says
+    Relay {
+        /// Our own settings, in protobuf text format, with `fleet { relay { ... } }`
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
     /// Check a configuration (JSON) or a settings file (protobuf text format): exit code 0 if it is good, else 1
     Check { file: PathBuf },
     /// Ask a running front who holds the door
@@ -35,17 +41,17 @@
         /// Its operators' socket, as in its settings
         socket: PathBuf,
     },
-    /// Ask a running front how it sees the fleet
+    /// Ask a running front, or relay, how it sees the fleet
     Fleet {
         /// Its operators' socket, as in its settings
         socket: PathBuf,
         /// As JSON
-        #[arg(long)]
+        #[arg(long, global = true)]
         json: bool,
         #[command(subcommand)]
         of: Option<Of>,
     },
-    /// Ask a running front for its metrics, as scrapers read them
+    /// Ask a running front, or relay, for its metrics, as scrapers read them
     Metrics {
         /// Its operators' socket, as in its settings
         socket: PathBuf,
@@ -58,9 +64,11 @@
     },
 }
 
-/// What the fronts share
+/// What the fronts share, and how events come
 #[derive(Debug, Subcommand)]
 pub enum Of {
+    /// Events from relays: position, lease, lag; of a relay also who is late, and what is in force everywhere
+    Events,
     /// What is held, by kind: records, bytes, and what is hearsay
     State,
     /// Entry by entry, how another front differs
--- /dev/null
+++ b/crates/front/src/clock.rs
@@ -0,0 +1,21 @@
+//! The program's clock.
+
+use meadowrill_core::interface::Micros;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Unix time, moved on by the monotonic clock: a step of the system's time must not shift what is out.
+pub struct Clock {
+    unix: Micros,
+    since: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix: unix.as_micros() as Micros, since: Instant::now() }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix + self.since.elapsed().as_micros() as Micros
+    }
+}
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -3,6 +3,7 @@
 use crate::{frame, ring};
 use meadowrill_core::door;
 use meadowrill_core::interface::{Micros, Settings};
+use meadowrill_events::plan::TEXT_MOST;
 use meadowrill_settings as own;
 use meadowrill_turns::cost::Kind;
 use serde_json::Value;
@@ -49,7 +50,7 @@
 pub struct Shown(Arc<AtomicUsize>);
 
 impl Shown {
-    fn new(level: Level) -> Shown {
+    pub fn new(level: Level) -> Shown {
         Shown(Arc::new(AtomicUsize::new(level.as_usize())))
     }
 
@@ -188,11 +189,15 @@
 
 /// Our own settings: a file that is named must be there.
 fn read_own(path: Option<&Path>) -> Result<own::Settings, Faulty> {
-    let path = match path {
-        Some(path) => path,
-        None if Path::new(OWN).exists() => Path::new(OWN),
-        None => return Ok(own::Settings::default()),
-    };
+    match path {
+        Some(path) => read_settings(path),
+        None if Path::new(OWN).exists() => read_settings(Path::new(OWN)),
+        None => Ok(own::Settings::default()),
+    }
+}
+
+/// The settings file at this path.
+pub fn read_settings(path: &Path) -> Result<own::Settings, Faulty> {
     let text = std::fs::read_to_string(path);
     let text = text.map_err(|e| faulty("settings file", format!("{}: {e}", path.display())))?;
     own::read(&text).map_err(|f| faulty(f.key, format!("{}, line {}: {}", path.display(), f.line, f.what)))
@@ -203,7 +208,12 @@
         let text = std::fs::read_to_string(&path);
         let text = text.map_err(|e| faulty("BALANCER_CONFIG", format!("{}: {e}", path.display())))?;
         let own = read_own(own_path.as_deref())?;
-        Ok(Config { path, own_path, own, ..Config::read(&text, |name| std::env::var(name).ok())? })
+        let config = Config { path, own_path, own, ..Config::read(&text, |name| std::env::var(name).ok())? };
+        let name_fits = (1..=TEXT_MOST).contains(&config.name.len());
+        if config.own.events.is_some() && !name_fits {
+            return Err(faulty("name", format!("has to be of 1 to {TEXT_MOST} bytes with fleet.events")));
+        }
+        Ok(config)
     }
 
     /// The files as they stand now, checked as at the start.
@@ -230,6 +240,9 @@
         if own.replica != self.own.replica {
             later.push("fleet.replica");
         }
+        if (&own.events, &own.region) != (&self.own.events, &self.own.region) {
+            later.push("fleet.events");
+        }
         let fixed = ["name", "listen", "seed", "limits", "settings", "flow_bytes_per_s", "link_bytes_per_s"];
         later.extend(fixed.into_iter().filter(|key| self.text.get(key) != fresh.text.get(key)));
         later
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -2,16 +2,18 @@
 //! decides nothing: time limits are those that the module or the settings give.
 
 mod actions;
-mod clock;
+mod events;
 mod fleet;
 mod list;
 mod lookups;
 mod outcomes;
 mod passage;
 mod shared;
+mod timer;
 
-use self::clock::{Clock, Timer};
 use self::lookups::{Effect, Taken};
+use self::timer::Timer;
+use crate::clock::Clock;
 use crate::config::Config;
 use crate::frame;
 use crate::net::caches::{Caches, Ended, Out};
@@ -27,6 +29,7 @@
 use meadowrill_core::control;
 use meadowrill_core::door::{contained, Indices};
 use meadowrill_core::interface::*;
+use meadowrill_events::subscriber::CopyBound;
 use meadowrill_turns::door::{Bounds, Door, Turn};
 use meadowrill_turns::names::Names;
 use meadowrill_turns::plan::{ClientBy, Plan};
@@ -74,6 +77,8 @@
     /// The others of the fleet, where the settings tell of one, and when its view wants to be asked next.
     fronts: Option<Fronts>,
     fleet_at: Micros,
+    /// What copies may be served, as the decisions were told; none before the first word, and without a subscription.
+    copy_bound: Option<CopyBound>,
     /// Further counts of a bench build.
     counts: Option<fn() -> String>,
     caches: Caches,
@@ -140,6 +145,7 @@
             operators: operators.transpose()?,
             fronts: fronts.transpose()?,
             fleet_at: 0,
+            copy_bound: None,
             counts,
             caches: Caches::new(config.caches, config.conn_idle),
             journal: Journal::new(config.journal, last),
@@ -162,6 +168,7 @@
             log,
             config,
         };
+        front.subscribe(now);
         // Where state is shared, other fronts are asked for it first.
         front.clients.ready = !front.shares();
         front.know(now);
@@ -239,7 +246,7 @@
                 .extend(std::mem::take(&mut self.held_back).into_iter().map(|key| (key, Readiness::EMPTY)));
         }
         if self.fronts.as_ref().is_some_and(Fronts::waits) {
-            gathered.push((Key::Fronts, Readiness::EMPTY));
+            gathered.push((Key::Datagrams, Readiness::EMPTY));
         }
         gathered.extend(self.clients.more().into_iter().map(|n| (Key::Client(n), Readiness::EMPTY)));
         gathered.sort_unstable_by_key(|(key, _)| *key);
@@ -258,7 +265,7 @@
                         fronts.streams.drop(number, poll);
                     }),
                     Key::Door
-                    | Key::Fronts
+                    | Key::Datagrams
                     | Key::Chunks
                     | Key::Operators
                     | Key::Reload
@@ -290,7 +297,7 @@
             }
             Key::Signal => {}
             Key::Reload => self.reload(now),
-            Key::Fronts => self.with_fronts(now, |fronts, poll| fronts.read(now, poll)),
+            Key::Datagrams => self.with_fronts(now, |fronts, poll| fronts.read(now, poll)),
             Key::Chunks => self.with_fronts(now, |fronts, poll| fronts.streams.accept(now, poll)),
             Key::Stream(number) => {
                 self.with_fronts(now, |fronts, poll| fronts.stream(number, ready, now, poll));
@@ -302,7 +309,14 @@
                 let (calls, counts, fronts) = (&self.poll.calls, self.counts, &self.fronts);
                 let tell = |word: &str| match word {
                     "turns" => report::table(&door.report()),
-                    "metrics" => metrics.text(door, fronts.as_ref()),
+                    "metrics" => metrics.text(door, fronts.as_ref(), now),
+                    "fleet events" | "fleet events json" => {
+                        match fronts.as_ref().and_then(report::events::SubscriptionReport::new) {
+                            None => "no fleet { events { } } in the settings\n".to_string(),
+                            Some(events) if word == "fleet events" => events.table(now),
+                            Some(events) => events.json(now),
+                        }
+                    }
                     "fleet" | "fleet json" => match (fronts, word) {
                         (None, _) => "no fleet in the settings\n".to_string(),
                         (Some(fronts), "fleet") => report::fleet::table(fronts.view(), now),
--- a/crates/front/src/front/actions.rs
+++ b/crates/front/src/front/actions.rs
@@ -1,6 +1,6 @@
 //! One batch of events to the decisions, and carrying out what comes back.
 
-use super::clock::Timer;
+use super::timer::Timer;
 use super::Front;
 use crate::frame;
 use crate::http;
@@ -14,6 +14,7 @@
 impl Front {
     /// One batch to the module, then what it wants done.
     pub(super) fn hand_over(&mut self, now: Micros, mut actions: Vec<Action>) {
+        self.bound_copies(now, &mut actions);
         let mut over = std::mem::replace(&mut self.over, std::mem::take(&mut self.spare.over));
         let module = &mut self.module;
         let mut failed = Vec::new();
@@ -40,6 +41,8 @@
                 failed.extend(lookup);
             }
         }
+        // What was decided at once meanwhile is carried out in the next round.
+        actions.append(&mut self.spare.actions);
         self.spare.actions = actions;
         for lookup in failed {
             self.answer(lookup, (frame::FAILED, &[], &[]), now);
--- a/crates/front/src/front/fleet.rs
+++ b/crates/front/src/front/fleet.rs
@@ -1,7 +1,7 @@
 //! The view of the fleet in the loop: when it is asked, and what is said of its changes. Nothing of this is there
 //! without `fleet { ... }` in the settings.
 
-use super::clock::Timer;
+use super::timer::Timer;
 use super::Front;
 use crate::net::fronts::Fronts;
 use crate::net::Poll;
@@ -19,6 +19,7 @@
         for change in fronts.changes() {
             tell(&self.log, change);
         }
+        self.do_events(now);
         self.do_shared(now);
         let Some(fronts) = &self.fronts else { return };
         let next = fronts.next();
--- a/crates/front/src/front/list.rs
+++ b/crates/front/src/front/list.rs
@@ -26,8 +26,9 @@
         step(&mut self.journal, &mut self.poll, &mut news);
         let any = !news.is_empty();
         news.into_iter().for_each(|news| self.told(news, now));
-        // Behind what was told: until then what may have been kept back holds.
-        let since = self.journal.behind();
+        // Behind what was told: until then what may have been kept back holds. Where events come from relays, the lease
+        // stands for all of them.
+        let since = self.journal.behind().filter(|_| !self.subscribes());
         if since != std::mem::replace(&mut self.behind, since) {
             self.events.push(Event::OutOfTouch { since });
         }
@@ -42,7 +43,8 @@
         match news {
             Err(what) => warn!(self.log, "journal"; "what" => what),
             Ok(Change::Purge { object, group, stamp }) => {
-                if let Some(fronts) = &mut self.fronts {
+                // One way for purges: where they come from relays, other fronts are not told.
+                if let Some(fronts) = self.fronts.as_mut().filter(|fronts| fronts.subscription.is_none()) {
                     fronts.share(|replica, _| replica.put_purge(now, object, group, stamp));
                 }
                 self.events.push(Event::Purged { object, group, ago: now - stamp });
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -2,11 +2,14 @@
 //! own settings beside it.
 
 mod cli;
+mod clock;
 mod config;
 mod frame;
 mod front;
 mod http;
+mod logging;
 mod net;
+mod relay;
 mod report;
 mod ring;
 mod sorted;
@@ -16,50 +19,20 @@
 use clap::Parser;
 use cli::{Cli, Command};
 use config::Config;
-use meadowrill_settings::Form;
+use logging::Log;
 use meadowrill_standins::demo;
-use slog::{crit, error, info, o, Drain, Filter, Logger};
+use slog::{crit, error, info, o, Logger};
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Mutex;
-use std::time::Duration;
 
-/// Lines that wait for a reader of the log; what goes beyond is dropped and counted.
-const WAITING: usize = 1024;
-/// How long the end waits for the last lines.
-const LAST_LINES: Duration = Duration::from_millis(200);
 /// Connections that may wait for the loop; the kernel cuts it to what the machine allows.
 const BACKLOG: i32 = 4096;
 
-/// Serving runs on one thread and must not wait for whoever reads the log, so the log has one of its own.
-fn log(config: &Config) -> (Logger, slog_async::AsyncGuard) {
-    let level = config.log.clone();
-    // A log that cannot be written is no reason to end.
-    let (drain, guard) = match config.own.log {
-        Form::Text => {
-            let plain = slog_term::PlainDecorator::new(std::io::stderr());
-            queued(slog_term::FullFormat::new(plain).use_utc_timestamp().build().ignore_res())
-        }
-        Form::Json => queued(Mutex::new(slog_json::Json::default(std::io::stderr())).ignore_res()),
-    };
-    let drain = Filter::new(drain, move |line| level.shows(line.level())).ignore_res();
-    (Logger::root(drain, o!("front" => config.name.clone())), guard)
-}
-
-fn queued<D>(lines: D) -> (slog_async::Async, slog_async::AsyncGuard)
-where
-    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
-{
-    slog_async::Async::new(lines)
-        .chan_size(WAITING)
-        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
-        .build_with_guard()
-}
-
-fn serve(config: Config, counts: Option<fn() -> String>) -> Result<(), String> {
-    let mut poll = EventLoop::try_new().map_err(|e| format!("poller: {e}"))?;
-    // Before the log's thread starts, so that it leaves these signals to the loop as well.
+/// The loop, which gathers signals as well. To be made before the log's thread starts, so that it leaves them to the
+/// loop.
+fn event_loop() -> Result<EventLoop<'static, net::Gathered>, String> {
+    let poll = EventLoop::try_new().map_err(|e| format!("poller: {e}"))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])
         .map_err(|e| format!("signals: {e}"))?;
     let told = |event: calloop::signals::Event, _: &mut (), gathered: &mut net::Gathered| {
@@ -71,10 +44,20 @@
         gathered.push((key, Readiness::EMPTY));
     };
     poll.handle().insert_source(signals, told).map_err(|e| format!("signals: {e}"))?;
-    let (log, guard) = log(&config);
-    // Where a panic was belongs into the log; the usual report would wait for whoever reads standard error.
+    Ok(poll)
+}
+
+/// Where a panic was belongs into the log; the usual report would wait for whoever reads standard error.
+fn log_panics(log: &Logger) {
     let told = log.clone();
     std::panic::set_hook(Box::new(move |panic| error!(told, "panic"; "what" => %panic)));
+}
+
+fn serve(config: Config, counts: Option<fn() -> String>) -> Result<(), String> {
+    let mut poll = event_loop()?;
+    let logging = Log::start(config.own.log, config.log.clone(), o!("front" => config.name.clone()));
+    let log = logging.logger.clone();
+    log_panics(&log);
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
     // The library's own is short for what may have to wait at the clients' ceiling.
     rustix::net::listen(&listener, BACKLOG).map_err(|e| format!("listen {}: {e}", config.listen))?;
@@ -87,14 +70,7 @@
             crit!(log, "ended"; "error" => %e);
             e.to_string()
         });
-    // The last lines are waited for, but not for a reader that has stopped reading.
-    let (tell, written) = std::sync::mpsc::channel();
-    std::thread::spawn(move || {
-        drop(guard);
-        let _ = tell.send(());
-    });
-    let _ = written.recv_timeout(LAST_LINES);
-    std::mem::forget(log);
+    logging.end();
     ended
 }
 
@@ -110,6 +86,7 @@
     let done = match Cli::parse().command {
         None => start(None, counts),
         Some(Command::Serve { settings }) => start(settings, counts),
+        Some(Command::Relay { settings }) => relay::start(&settings),
         Some(Command::Check { file }) => {
             cli::check(&file).map(|kind| println!("{}: good {kind}", file.display()))
         }
@@ -118,6 +95,7 @@
             let ask = |word: &str| cli::operator(&socket, word);
             let told = match of {
                 None => ask(if json { "fleet json" } else { "fleet" }),
+                Some(cli::Of::Events) => ask(if json { "fleet events json" } else { "fleet events" }),
                 Some(cli::Of::State) => ask(if json { "fleet state json" } else { "fleet state" }),
                 Some(cli::Of::Ledger { mark, class }) => ask(&format!("fleet ledger {mark} {class}")),
                 Some(cli::Of::Diff { other }) => ask("fleet entries").and_then(|here| {
--- /dev/null
+++ b/crates/front/src/net/events.rs
@@ -0,0 +1,71 @@
+//! The subscription to events: datagrams and time go to it, and what it wants done is kept, in order, for the loop.
+
+use meadowrill_core::door::contained;
+use meadowrill_core::interface::Micros;
+use meadowrill_events::output::{Output, SubscriberStatus};
+use meadowrill_events::plan::{Identity, Plan};
+use meadowrill_events::subscriber::{CopyBound, Subscriber};
+
+pub struct Subscription {
+    plan: Plan,
+    me: Identity,
+    seed: u64,
+    subscriber: Subscriber,
+    outputs: Vec<Output>,
+    /// What panics said, until somebody logs it.
+    panics: Vec<String>,
+}
+
+impl Subscription {
+    pub fn new(plan: Plan, me: Identity, now: Micros, seed: u64) -> Subscription {
+        let subscriber = Subscriber::new(plan.clone(), me.clone(), now, seed);
+        Subscription { plan, me, seed, subscriber, outputs: Vec::new(), panics: Vec::new() }
+    }
+
+    pub fn receive(&mut self, now: Micros, bytes: &[u8]) {
+        self.step(now, |subscriber, outputs| subscriber.receive(now, bytes, outputs));
+    }
+
+    pub fn tick(&mut self, now: Micros) {
+        if now >= self.subscriber.next_wake() {
+            self.step(now, |subscriber, outputs| subscriber.tick(now, outputs));
+        }
+    }
+
+    /// Where a step panics, what it knew is not to be relied on.
+    fn step(&mut self, now: Micros, step: impl FnOnce(&mut Subscriber, &mut Vec<Output>)) {
+        let (subscriber, outputs) = (&mut self.subscriber, &mut self.outputs);
+        let Err(panic) = contained(|| step(subscriber, outputs)) else { return };
+        self.panics.push(panic);
+        self.restart(now);
+    }
+
+    /// Starts anew, without a lease, and fetches all that binds.
+    pub fn restart(&mut self, now: Micros) {
+        // What was to be sent would speak for the former start.
+        self.outputs.retain(|output| matches!(output, Output::Apply(_)));
+        self.me.incarnation = self.me.incarnation.saturating_add(1).max(now.max(0) as u64);
+        self.subscriber = Subscriber::new(self.plan.clone(), self.me.clone(), now, self.seed);
+    }
+
+    pub fn next_wake(&self) -> Micros {
+        self.subscriber.next_wake()
+    }
+
+    pub fn copy_bound(&self, now: Micros) -> CopyBound {
+        self.subscriber.copy_bound(now)
+    }
+
+    pub fn status(&self, now: Micros) -> SubscriberStatus {
+        self.subscriber.status(now)
+    }
+
+    /// What is to be done: an event has to be in force before the next datagram of the list is sent.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.outputs)
+    }
+
+    pub fn take_panics(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.panics)
+    }
+}
--- a/crates/front/src/net/fronts.rs
+++ b/crates/front/src/net/fronts.rs
@@ -1,23 +1,25 @@
-//! Other fronts: datagrams and chunks to and from the view of the fleet, which decides; here they are only carried.
+//! Other members of the fleet: datagrams and chunks to and from the view of the fleet, what is shared and the
+//! subscription to events, which decide; here they are only carried.
 
+use super::datagrams::Datagrams;
+use super::events::Subscription;
 use super::streams::Streams;
-use super::{Key, Poll};
+use super::Poll;
 use calloop::Readiness;
 use meadowrill_core::interface::Micros;
+use meadowrill_events::plan::{Identity, Plan as EventsPlan};
+use meadowrill_events::wire as events_wire;
 use meadowrill_members::claim::State;
 use meadowrill_members::envelope;
 use meadowrill_members::plan::Plan;
 use meadowrill_members::view::{Act, Change, Me, Member, View};
-use meadowrill_members::wire::{Value, MOST};
+use meadowrill_members::wire::Value;
 use meadowrill_replica::replica::{self, Peer, Replica};
 use meadowrill_replica::wire;
 use meadowrill_settings::Replica as Shared;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, UdpSocket};
-use std::rc::Rc;
 
-/// Datagrams that are read in one round; the rest are read in the next.
-const READ: usize = 256;
 /// Ports from the kernel that are tried.
 const TRIES: u32 = 16;
 
@@ -27,7 +29,7 @@
 const LEDGER: u8 = 2;
 
 pub struct Fronts {
-    socket: Rc<UdpSocket>,
+    pub datagrams: Datagrams,
     pub streams: Streams,
     view: View,
     acts: Vec<Act>,
@@ -35,14 +37,14 @@
     /// What is shared beside who is there, where the settings tell of it, and what it wants done.
     pub replica: Option<Replica>,
     shared: Vec<replica::Act>,
-    /// Datagrams that the kernel had no room for.
-    pub unsent: u64,
+    /// Where the settings tell of relays.
+    pub subscription: Option<Subscription>,
     /// What members have said of themselves, as far as it was handed on.
     worded: u64,
     /// No contact was told: there may be nobody to agree with.
     alone: bool,
-    /// There may be more to read.
-    waits: bool,
+    /// Where others reach this front.
+    advertised: SocketAddr,
 }
 
 impl Fronts {
@@ -55,32 +57,31 @@
         poll: &Poll,
     ) -> io::Result<Fronts> {
         let (socket, streams) = both(plan.listen, poll)?;
-        let socket = Rc::new(socket);
-        socket.set_nonblocking(true)?;
-        poll.watch(Rc::clone(&socket), Key::Fronts)?;
+        let datagrams = Datagrams::new(socket, poll)?;
         let mut plan = plan.clone();
         if plan.advertise == plan.listen {
             // A port from the kernel is known only now.
-            plan.listen = socket.local_addr()?;
+            plan.listen = datagrams.address()?;
             plan.advertise = plan.listen;
         }
         let me = Me { name: name.into(), version: env!("CARGO_PKG_VERSION").into(), start: now as u64 };
         let alone = plan.contacts.iter().all(|to| *to == plan.advertise);
+        let advertised = plan.advertise;
         let view = View::new(plan, me, now, seed);
         let replica = shared.map(|shared| Replica::new(shared.plan.clone(), name, now as u64, now, seed));
         let (acts, changes) = (Vec::new(), Vec::new());
         let mut fronts = Fronts {
-            socket,
+            datagrams,
             streams,
             view,
             acts,
             changes,
             replica,
             shared: Vec::new(),
-            unsent: 0,
+            subscription: None,
             worded: 0,
             alone,
-            waits: false,
+            advertised,
         };
         if let Some(replica) = &fronts.replica {
             let ledger = if replica.ledger().is_some() { LEDGER } else { 0 };
@@ -91,43 +92,42 @@
         Ok(fronts)
     }
 
+    /// Events come by these relays from now on.
+    pub fn subscribe(&mut self, plan: &EventsPlan, region: &str, now: Micros, seed: u64) {
+        let (claim, body) = self.view.own();
+        let me = Identity {
+            name: self.view.name().into(),
+            incarnation: claim.start,
+            address: self.advertised,
+            region: region.into(),
+            zone: body.zone.clone(),
+        };
+        self.subscription = Some(Subscription::new(plan.clone(), me, now, seed));
+    }
+
     pub fn view(&self) -> &View {
         &self.view
     }
 
     pub fn waits(&self) -> bool {
-        self.waits
+        self.datagrams.waits()
     }
 
     pub fn next(&self) -> Micros {
-        self.replica.iter().fold(self.view.next(), |next, replica| next.min(replica.next()))
+        let replica = self.replica.iter().map(Replica::next);
+        let subscription = self.subscription.iter().map(Subscription::next_wake);
+        replica.chain(subscription).fold(self.view.next(), Micros::min)
     }
 
     pub fn read(&mut self, now: Micros, poll: &mut Poll) {
         // First the clock: one that was stopped has to know that before it believes what came meanwhile.
         self.tick(now, poll);
-        let mut bytes = [0; MOST + 1];
-        self.waits = true;
-        for _ in 0..READ {
-            match self.socket.recv_from(&mut bytes) {
-                Ok((length, _)) => {
-                    heard(
-                        &mut self.view,
-                        &mut self.replica,
-                        now,
-                        &bytes[..length],
-                        (&mut self.acts, &mut self.shared),
-                    );
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    self.waits = false;
-                    break;
-                }
-                // A machine that says that nobody is there: the view finds that out by itself.
-                Err(_) => {}
-            }
-        }
+        let (view, replica, subscription) = (&mut self.view, &mut self.replica, &mut self.subscription);
+        let (acts, shared) = (&mut self.acts, &mut self.shared);
+        self.datagrams.read(|bytes| match (subscription.as_mut(), envelope::mark(bytes)) {
+            (Some(subscription), Some(events_wire::MARK)) => subscription.receive(now, bytes),
+            _ => heard(view, replica, now, bytes, (acts, shared)),
+        });
         self.carry(now, poll);
     }
 
@@ -150,6 +150,9 @@
         if let Some(replica) = self.replica.as_mut().filter(|r| now >= r.next()) {
             replica.tick(now, &mut self.shared);
         }
+        if let Some(subscription) = &mut self.subscription {
+            subscription.tick(now);
+        }
         self.carry(now, poll);
     }
 
@@ -212,11 +215,7 @@
                         self.view.unstreamed(now, to);
                     }
                 }
-                Act::Send { to, bytes } => {
-                    if self.socket.send_to(&bytes, to).is_err() {
-                        self.unsent += 1;
-                    }
-                }
+                Act::Send { to, bytes } => self.datagrams.send(to, &bytes),
             }
         }
         if changed || self.worded != self.view.worded() {
@@ -242,8 +241,8 @@
             if stream {
                 // Where none comes up it is found missing by the next comparison.
                 self.streams.send(address, &bytes, now, poll);
-            } else if self.socket.send_to(&bytes, address).is_err() {
-                self.unsent += 1;
+            } else {
+                self.datagrams.send(address, &bytes);
             }
         }
         self.shared = rest;
--- a/crates/front/src/net/journal.rs
+++ b/crates/front/src/net/journal.rs
@@ -137,6 +137,11 @@
         }
     }
 
+    /// One that is behind from the start on, until the service has said that there is nothing more.
+    pub fn unheard(address: SocketAddr, last: u64, since: Micros) -> Journal {
+        Journal { behind: Some(since), ..Journal::new(address, last) }
+    }
+
     /// Goes on at another address, from the last event had.
     pub fn move_to(&mut self, address: SocketAddr, now: Micros, poll: &mut Poll, news: &mut Vec<News>) {
         if address != self.address {
--- a/crates/front/src/net/mod.rs
+++ b/crates/front/src/net/mod.rs
@@ -3,6 +3,8 @@
 pub mod caches;
 pub mod calls;
 pub mod clients;
+pub mod datagrams;
+pub mod events;
 pub mod fronts;
 pub mod journal;
 pub mod operators;
@@ -37,8 +39,8 @@
     Cache(u64),
     Client(u64),
     Door,
-    /// Datagrams of other fronts, streams that they open, and one of these or of this front's own.
-    Fronts,
+    /// Datagrams of other members of the fleet, streams that they open, and one of these or of this front's own.
+    Datagrams,
     Chunks,
     Stream(u64),
     /// The operators' socket, and one that asks there.
--- /dev/null
+++ b/crates/front/src/relay/feed.rs
@@ -0,0 +1,92 @@
+//! What feeds subscribers: a relay, or a publisher.
+
+use super::settings::RelaySettings;
+use meadowrill_core::door::stable;
+use meadowrill_core::interface::Micros;
+use meadowrill_events::event::{Event, LogPosition};
+use meadowrill_events::output::{FeedStatus, Output, SubscriberStatus};
+use meadowrill_events::plan::Identity;
+use meadowrill_events::publisher::Publisher;
+use meadowrill_events::relay::Relay;
+
+pub(super) enum Feed {
+    Relay(Box<Relay>),
+    Publisher(Box<Publisher>),
+}
+
+impl Feed {
+    pub(super) fn new(settings: &RelaySettings, now: Micros) -> Feed {
+        let (plan, relay) = (settings.events.clone(), settings.relay.plan.clone());
+        let me = Identity {
+            name: settings.name().to_string(),
+            incarnation: now.max(0) as u64,
+            address: settings.fleet.advertise,
+            region: settings.own.region.clone(),
+            zone: settings.fleet.zone.clone(),
+        };
+        // Relays that start at one moment are not to draw the same pauses.
+        let seed = now as u64 ^ stable(settings.name());
+        if settings.relay.publish.is_some() {
+            Feed::Publisher(Box::new(Publisher::new(plan, relay, me, now, seed)))
+        } else {
+            Feed::Relay(Box::new(Relay::new(plan, relay, me, now, seed)))
+        }
+    }
+
+    pub(super) fn receive(&mut self, now: Micros, bytes: &[u8], outputs: &mut Vec<Output>) {
+        match self {
+            Feed::Relay(relay) => relay.receive(now, bytes, outputs),
+            Feed::Publisher(publisher) => publisher.receive(now, bytes, outputs),
+        }
+    }
+
+    pub(super) fn tick(&mut self, now: Micros, outputs: &mut Vec<Output>) {
+        match self {
+            Feed::Relay(relay) => relay.tick(now, outputs),
+            Feed::Publisher(publisher) => publisher.tick(now, outputs),
+        }
+    }
+
+    pub(super) fn next_wake(&self) -> Micros {
+        match self {
+            Feed::Relay(relay) => relay.next_wake(),
+            Feed::Publisher(publisher) => publisher.next_wake(),
+        }
+    }
+
+    pub(super) fn status(&self, now: Micros) -> FeedStatus {
+        match self {
+            Feed::Relay(relay) => relay.status(now),
+            Feed::Publisher(publisher) => publisher.status(now),
+        }
+    }
+
+    /// How a relay follows the one that feeds it.
+    pub(super) fn upstream(&self, now: Micros) -> Option<SubscriberStatus> {
+        match self {
+            Feed::Relay(relay) => Some(relay.upstream(now)),
+            Feed::Publisher(_) => None,
+        }
+    }
+
+    /// Everything that a publisher was told.
+    pub(super) fn published(&self) -> Option<LogPosition> {
+        match self {
+            Feed::Relay(_) => None,
+            Feed::Publisher(publisher) => Some(publisher.published()),
+        }
+    }
+
+    pub(super) fn publish(&mut self, now: Micros, event: Event) {
+        if let Feed::Publisher(publisher) = self {
+            publisher.publish(now, event);
+        }
+    }
+
+    /// Since when the journal service may have kept something back.
+    pub(super) fn behind(&mut self, since: Option<Micros>) {
+        if let Feed::Publisher(publisher) = self {
+            publisher.behind(since);
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/relay/settings.rs
@@ -0,0 +1,65 @@
+//! What a relay needs of the settings file.
+
+use crate::config::{read_settings, Faulty};
+use meadowrill_core::interface::Micros;
+use meadowrill_events::plan::Plan;
+use meadowrill_members::plan::Plan as Fleet;
+use meadowrill_settings::{Relay, Settings};
+use std::path::{Path, PathBuf};
+
+const MICROS_PER_S: f64 = 1e6;
+
+pub(super) struct RelaySettings {
+    path: PathBuf,
+    /// All of the file.
+    pub(super) own: Settings,
+    pub(super) fleet: Fleet,
+    pub(super) events: Plan,
+    pub(super) relay: Relay,
+}
+
+impl RelaySettings {
+    pub(super) fn load(path: &Path) -> Result<RelaySettings, Faulty> {
+        let own = read_settings(path)?;
+        let missing = |key: &str| Faulty {
+            key: key.to_string(),
+            what: format!("{}: is missing, and a relay needs it", path.display()),
+        };
+        Ok(RelaySettings {
+            path: path.to_path_buf(),
+            fleet: own.fleet.clone().ok_or_else(|| missing("fleet"))?,
+            events: own.events.clone().ok_or_else(|| missing("fleet.events"))?,
+            relay: own.relay.clone().ok_or_else(|| missing("fleet.relay"))?,
+            own,
+        })
+    }
+
+    /// The file as it stands now.
+    pub(super) fn again(&self) -> Result<RelaySettings, Faulty> {
+        RelaySettings::load(&self.path)
+    }
+
+    pub(super) fn name(&self) -> &str {
+        &self.relay.name
+    }
+
+    /// Between two reports in the log.
+    pub(super) fn report_every(&self) -> Option<Micros> {
+        self.own.report_every.map(|seconds| (seconds * MICROS_PER_S) as Micros)
+    }
+
+    /// The keys that a later file tells otherwise.
+    pub(super) fn differs(&self, fresh: &RelaySettings) -> Vec<&'static str> {
+        let (own, other) = (&self.own, &fresh.own);
+        let keys = [
+            ("log.form", own.log != other.log),
+            ("operators.socket", own.socket != other.socket),
+            ("operators.report_every_s", own.report_every != other.report_every),
+            ("fleet", self.fleet != fresh.fleet),
+            ("fleet.region", own.region != other.region),
+            ("fleet.events", self.events != fresh.events),
+            ("fleet.relay", self.relay != fresh.relay),
+        ];
+        keys.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+}
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -1,10 +1,12 @@
 //! What operators are told of the door: a table, lines for the log, and metrics. Names in them are bounded: tenants
 //! are those of the settings, clients the loudest few of each.
 
+pub mod events;
 pub mod fleet;
 pub mod shared;
 
 use crate::net::fronts::Fronts;
+use meadowrill_core::interface::Micros;
 use meadowrill_turns::door::{Door, Report, Why};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
@@ -25,6 +27,7 @@
 pub struct Metrics {
     waits: Family<Labels, Histogram>,
     lags: Family<Labels, Histogram>,
+    purge_lags: Histogram,
 }
 
 impl Default for Metrics {
@@ -33,7 +36,9 @@
         let histogram: fn() -> Histogram = || Histogram::new(exponential_buckets(0.0005, 2.0, 13));
         // From a millisecond to a minute and more.
         let lags: fn() -> Histogram = || Histogram::new(exponential_buckets(0.001, 2.0, 17));
-        Metrics { waits: Family::new_with_constructor(histogram), lags: Family::new_with_constructor(lags) }
+        let purge_lags = lags();
+        let (waits, lags) = (Family::new_with_constructor(histogram), Family::new_with_constructor(lags));
+        Metrics { waits, lags, purge_lags }
     }
 }
 
@@ -47,8 +52,13 @@
         self.lags.get_or_create(&vec![("kind".into(), kind.into())]).observe(seconds);
     }
 
+    /// How old a purge was, by its stamp, when it was put in force.
+    pub fn purge_applied(&self, seconds: f64) {
+        self.purge_lags.observe(seconds);
+    }
+
     /// In the text format that scrapers read.
-    pub fn text(&self, door: &Door, fronts: Option<&Fronts>) -> String {
+    pub fn text(&self, door: &Door, fronts: Option<&Fronts>, now: Micros) -> String {
         let mut registry = Registry::with_prefix("meadowrill_door");
         registry.register(
             "wait_seconds",
@@ -69,16 +79,27 @@
             registry.register_collector(Box::new(shared::seen(replica)));
             registries.push(registry);
         }
-        let (mut text, mut done) = (String::new(), Ok(()));
-        for registry in registries {
-            // Only the last says that it ends.
-            text.truncate(text.strip_suffix("# EOF\n").map_or(text.len(), str::len));
-            done = done.and_then(|()| encode(&mut text, &registry));
-        }
-        match done {
-            Ok(()) => text,
-            Err(e) => format!("# {e}\n"),
+        if let Some(subscription) = fronts.and_then(events::SubscriptionReport::new) {
+            let mut registry = Registry::with_prefix(events::PREFIX);
+            let help = "How old purges were by their stamps when they were put in force, those of snapshots included";
+            registry.register("purge_age_seconds", help, self.purge_lags.clone());
+            registry.register_collector(Box::new(subscription.metrics(now)));
+            registries.push(registry);
         }
+        encoded(&registries)
+    }
+}
+
+/// All of them as one text, which only its last line ends.
+pub fn encoded(registries: &[Registry]) -> String {
+    let (mut text, mut done) = (String::new(), Ok(()));
+    for registry in registries {
+        text.truncate(text.strip_suffix("# EOF\n").map_or(text.len(), str::len));
+        done = done.and_then(|()| encode(&mut text, registry));
+    }
+    match done {
+        Ok(()) => text,
+        Err(e) => format!("# {e}\n"),
     }
 }
 
--- /dev/null
+++ b/crates/front/src/report/events.rs
@@ -0,0 +1,377 @@
+//! What operators are told of the distribution of events: by a front of its subscription, by a relay of those that it
+//! feeds. A table, the same as JSON, metrics, and lines for the log.
+
+use super::fleet::{Labels, Named, Seen};
+use crate::net::fronts::Fronts;
+use meadowrill_core::interface::Micros;
+use meadowrill_events::event::LogPosition;
+use meadowrill_events::output::{Counters, FedStatus, FeedStatus, Notice, Rejected, SubscriberStatus};
+use serde_json::{json, Value};
+use slog::{error, info, warn, Logger};
+use std::fmt::Write;
+
+/// Of the names of metrics.
+pub const PREFIX: &str = "meadowrill_events";
+/// The sides of a member, as metrics tell them apart.
+const SUBSCRIBERS: &str = "subscribers";
+const UPSTREAM: &str = "upstream";
+/// Width of the first column of a table.
+const COLUMN: usize = 14;
+
+/// What a front tells of its subscription.
+pub struct SubscriptionReport<'a> {
+    fronts: &'a Fronts,
+}
+
+impl SubscriptionReport<'_> {
+    /// None where nothing is subscribed to.
+    pub fn new(fronts: &Fronts) -> Option<SubscriptionReport<'_>> {
+        fronts.subscription.is_some().then_some(SubscriptionReport { fronts })
+    }
+
+    fn status(&self, now: Micros) -> Option<SubscriberStatus> {
+        self.fronts.subscription.as_ref().map(|subscription| subscription.status(now))
+    }
+
+    pub fn table(&self, now: Micros) -> String {
+        let Some(status) = self.status(now) else { return String::new() };
+        let mut table = Table::default();
+        subscriber_rows(&mut table, &status, now);
+        counter_rows(&mut table, &status.counters, self.fronts.datagrams.unsent);
+        table.0
+    }
+
+    pub fn json(&self, now: Micros) -> String {
+        let Some(status) = self.status(now) else { return String::new() };
+        let mut all = subscriber_json(&status, now);
+        all["role"] = "front".into();
+        all["unsent"] = self.fronts.datagrams.unsent.into();
+        format!("{all}\n")
+    }
+
+    pub fn metrics(&self, now: Micros) -> Seen {
+        let Some(status) = self.status(now) else { return Seen { counters: Vec::new(), gauges: Vec::new() } };
+        let mut counters = counter_metrics(&[(UPSTREAM, &status.counters)]);
+        counters.push(unsent_metric(self.fronts.datagrams.unsent));
+        Seen { counters, gauges: subscriber_gauges(&status) }
+    }
+}
+
+/// What a relay tells.
+pub struct FeedReport {
+    pub name: String,
+    pub status: FeedStatus,
+    /// How it follows the one that feeds it; none where it publishes.
+    pub upstream: Option<SubscriberStatus>,
+    /// Where it publishes: for how long `done` has not got on, while something published is not in force everywhere.
+    pub done_age: Option<Micros>,
+    /// Events that were put in force everywhere.
+    pub in_force: u64,
+    /// Datagrams that the kernel had no room for.
+    pub unsent: u64,
+}
+
+impl FeedReport {
+    fn role(&self) -> &'static str {
+        if self.upstream.is_some() {
+            "relay"
+        } else {
+            "publisher"
+        }
+    }
+
+    pub fn table(&self, now: Micros) -> String {
+        let status = &self.status;
+        let mut table = Table::default();
+        table.row(self.role(), &self.name);
+        table.row("head", &position(Some(status.head)));
+        table.row("acknowledged", &position(Some(status.acknowledged)));
+        if let Some(done) = status.done {
+            table.row("done", &position(Some(done)));
+            table.row("done age", &self.done_age.map_or("-".into(), milliseconds));
+        }
+        table.row("subscribers", &format!("{}, {} with a lease", status.subscribers, status.leased));
+        for late in &status.late {
+            table.row("late", &late_text(late, status.head));
+        }
+        table.row("window", &format!("{} bytes", status.window_bytes));
+        table.row("purges", &status.purges.to_string());
+        table.row("floor", &floor(status.floor, now));
+        counter_rows(&mut table, &status.counters, self.unsent);
+        if let Some(upstream) = &self.upstream {
+            table.0.push_str("follows\n");
+            subscriber_rows(&mut table, upstream, now);
+            counter_rows(&mut table, &upstream.counters, self.unsent);
+        }
+        table.0
+    }
+
+    pub fn json(&self, now: Micros) -> String {
+        let status = &self.status;
+        let late: Vec<Value> = status.late.iter().map(late_json).collect();
+        let all = json!({
+            "role": self.role(), "name": self.name, "head": position_json(Some(status.head)),
+            "acknowledged": position_json(Some(status.acknowledged)), "done": position_json(status.done),
+            "done_age_us": self.done_age, "in_force": self.in_force, "subscribers": status.subscribers,
+            "leased": status.leased, "late": late, "window_bytes": status.window_bytes,
+            "purges": status.purges, "floor_us": status.floor, "unsent": self.unsent,
+            "counters": counters_json(&status.counters),
+            "upstream": self.upstream.as_ref().map(|upstream| subscriber_json(upstream, now)),
+        });
+        format!("{all}\n")
+    }
+
+    pub fn metrics(&self) -> Seen {
+        let status = &self.status;
+        let mut sides = vec![(SUBSCRIBERS, &status.counters)];
+        sides.extend(self.upstream.iter().map(|upstream| (UPSTREAM, &upstream.counters)));
+        let mut counters = counter_metrics(&sides);
+        counters.push(unsent_metric(self.unsent));
+        let mut gauges = vec![
+            gauge("subscribers", "Subscribers that are served", status.subscribers as f64),
+            gauge("leased", "Subscribers that hold a lease", status.leased as f64),
+            gauge(
+                "late",
+                "Subscribers that lag or have lost their lease, up to a bound",
+                status.late.len() as f64,
+            ),
+            gauge(
+                "window_bytes",
+                "Bytes of events that are kept for those who come back",
+                status.window_bytes as f64,
+            ),
+            gauge("head", "Events of this epoch that are known", status.head.position as f64),
+            gauge(
+                "acknowledged",
+                "Events that all holders of a lease have applied",
+                status.acknowledged.position as f64,
+            ),
+            gauge("purges", "Purges that are kept", status.purges as f64),
+        ];
+        if let Some(done) = status.done {
+            let age = self.done_age.unwrap_or(0);
+            gauges.push(gauge("done", "Events that are in force everywhere", done.position as f64));
+            let help = "For how long done has not got on while something is not in force everywhere";
+            gauges.push(gauge("done_age_seconds", help, seconds(age)));
+            counters.push(("in_force", "Events put in force everywhere", single(self.in_force)));
+        }
+        if let Some(upstream) = &self.upstream {
+            gauges.extend(upstream_gauges(upstream));
+        }
+        Seen { counters, gauges }
+    }
+
+    /// As a line of the log.
+    pub fn log(&self, log: &Logger) {
+        let status = &self.status;
+        let late = status.late.iter().map(|late| late.name.as_str()).collect::<Vec<_>>().join(" ");
+        info!(log, "events"; "head" => position(Some(status.head)),
+            "acknowledged" => position(Some(status.acknowledged)), "done" => position(status.done),
+            "subscribers" => status.subscribers, "leased" => status.leased, "late" => late,
+            "window_bytes" => status.window_bytes, "purges" => status.purges);
+    }
+}
+
+/// A column of names and one of values.
+#[derive(Default)]
+struct Table(String);
+
+impl Table {
+    fn row(&mut self, name: &str, value: &str) {
+        // Writing to a text cannot fail.
+        let _ = writeln!(self.0, "{name:<COLUMN$}{value}");
+    }
+}
+
+fn subscriber_rows(table: &mut Table, status: &SubscriberStatus, now: Micros) {
+    table.row("relay", &status.relay);
+    table.row("epoch", &status.at.map_or("-".into(), |at| at.epoch.0.to_string()));
+    table.row("position", &position(status.head));
+    table.row("watermark", &position(status.at));
+    table.row("lag", &format!("{} events", lag(status)));
+    table.row(
+        "lease",
+        &status.lease_left.map_or("none".into(), |left| format!("{} left", milliseconds(left))),
+    );
+    table.row("snapshot", if status.fetching_snapshot { "being fetched" } else { "-" });
+    table.row("purges", &status.purges.to_string());
+    table.row("floor", &floor(status.floor, now));
+}
+
+fn counter_rows(table: &mut Table, counters: &Counters, unsent: u64) {
+    let datagrams = |count: u64, bytes: u64| format!("{count} datagrams, {bytes} bytes");
+    table.row("sent", &datagrams(counters.sent, counters.sent_bytes));
+    table.row("received", &datagrams(counters.received, counters.received_bytes));
+    table.row("unsent", &unsent.to_string());
+    for (name, count) in counts(counters) {
+        table.row(name, &count.to_string());
+    }
+    let rejected = Rejected::ALL.iter().zip(counters.rejected).filter(|(_, count)| *count > 0);
+    let rejected: Vec<String> = rejected.map(|(why, count)| format!("{} {count}", why.name())).collect();
+    table.row("rejected", if rejected.is_empty() { "-".into() } else { rejected.join(", ") }.as_str());
+}
+
+fn counts(counters: &Counters) -> [(&'static str, u64); 8] {
+    [
+        ("events", counters.events),
+        ("batches", counters.batches),
+        ("gaps", counters.gaps),
+        ("resent", counters.resent),
+        ("snapshots", counters.snapshots),
+        ("switches", counters.switches),
+        ("lapses", counters.lapses),
+        ("busy", counters.busy),
+    ]
+}
+
+fn subscriber_json(status: &SubscriberStatus, now: Micros) -> Value {
+    json!({
+        "relay": status.relay, "epoch": status.at.map(|at| at.epoch.0), "position": position_json(status.head),
+        "watermark": position_json(status.at), "lag": lag(status), "lease_left_us": status.lease_left,
+        "fetching_snapshot": status.fetching_snapshot, "purges": status.purges, "floor_us": status.floor,
+        "floor_age_us": status.floor.map(|floor| now - floor), "counters": counters_json(&status.counters),
+    })
+}
+
+fn counters_json(counters: &Counters) -> Value {
+    let rejected = Rejected::ALL.iter().zip(counters.rejected);
+    let rejected: serde_json::Map<String, Value> =
+        rejected.map(|(why, count)| (why.name().to_string(), count.into())).collect();
+    let mut all = json!({
+        "sent": counters.sent, "sent_bytes": counters.sent_bytes, "received": counters.received,
+        "received_bytes": counters.received_bytes, "rejected": rejected,
+    });
+    for (name, count) in counts(counters) {
+        all[name] = count.into();
+    }
+    all
+}
+
+fn late_text(late: &FedStatus, head: LogPosition) -> String {
+    let behind = late.acknowledged.filter(|at| at.epoch == head.epoch);
+    let behind = behind.map_or("of another epoch".into(), |at| {
+        format!("{} events behind", head.position.saturating_sub(at.position))
+    });
+    let lease =
+        late.lease_left.map_or("no lease".into(), |left| format!("lease {} left", milliseconds(left)));
+    format!("{}: {behind}, {lease}, heard {} ago", late.name, milliseconds(late.heard_ago))
+}
+
+fn late_json(late: &FedStatus) -> Value {
+    json!({"name": late.name, "acknowledged": position_json(late.acknowledged),
+        "lease_left_us": late.lease_left, "heard_ago_us": late.heard_ago})
+}
+
+fn position(at: Option<LogPosition>) -> String {
+    at.map_or("-".into(), |at| format!("{} of epoch {}", at.position, at.epoch.0))
+}
+
+fn position_json(at: Option<LogPosition>) -> Value {
+    at.map_or(Value::Null, |at| json!({"epoch": at.epoch.0, "position": at.position}))
+}
+
+/// Events that the relay has told of and that are not applied.
+fn lag(status: &SubscriberStatus) -> u64 {
+    let Some(head) = status.head else { return 0 };
+    let applied = status.at.filter(|at| at.epoch == head.epoch).map_or(0, |at| at.position);
+    head.position.saturating_sub(applied)
+}
+
+fn floor(floor: Option<Micros>, now: Micros) -> String {
+    floor.map_or("-".into(), |floor| format!("copies older than {} are refused", milliseconds(now - floor)))
+}
+
+fn milliseconds(span: Micros) -> String {
+    format!("{} ms", span / 1000)
+}
+
+fn seconds(span: Micros) -> f64 {
+    span as f64 / 1e6
+}
+
+fn flag(flag: bool) -> f64 {
+    f64::from(u8::from(flag))
+}
+
+fn single<T>(value: T) -> Vec<(Labels, T)> {
+    vec![(Labels::new(), value)]
+}
+
+fn gauge(name: &'static str, help: &'static str, value: f64) -> Named<f64> {
+    (name, help, single(value))
+}
+
+fn unsent_metric(unsent: u64) -> Named<u64> {
+    ("unsent", "Datagrams that the kernel did not take", single(unsent))
+}
+
+/// The counts of both sides of a member: towards its subscribers, and towards the relay that it follows.
+fn counter_metrics(sides: &[(&str, &Counters)]) -> Vec<Named<u64>> {
+    let labels = |side: &str| vec![("side".to_string(), side.to_string())];
+    let count = |name, help, of: fn(&Counters) -> u64| {
+        let values = sides.iter().map(|(side, counters)| (labels(side), of(counters)));
+        (name, help, values.collect::<Vec<_>>())
+    };
+    let rejected = sides.iter().flat_map(|(side, counters)| {
+        let why = |why: &Rejected| ("why".to_string(), why.name().to_string());
+        let reasons = Rejected::ALL.iter().zip(counters.rejected);
+        reasons.map(|(reason, count)| ([labels(side), vec![why(reason)]].concat(), count)).collect::<Vec<_>>()
+    });
+    vec![
+        count("datagrams_sent", "Datagrams sent", |c| c.sent),
+        count("bytes_sent", "Bytes sent", |c| c.sent_bytes),
+        count("datagrams_received", "Datagrams received", |c| c.received),
+        count("bytes_received", "Bytes received", |c| c.received_bytes),
+        count("applied", "Events applied", |c| c.events),
+        count("batches", "Batches of events", |c| c.batches),
+        count("gaps", "Batches with a gap before them", |c| c.gaps),
+        count("resent", "Batches sent again", |c| c.resent),
+        count("resumptions", "Snapshots fetched, or handed out", |c| c.snapshots),
+        count("switches", "Times that another relay was asked", |c| c.switches),
+        count("lapses", "Leases that ended and were not renewed", |c| c.lapses),
+        count("busy", "Subscribers that were told to come later", |c| c.busy),
+        ("rejected", "Datagrams dropped", rejected.collect()),
+    ]
+}
+
+fn subscriber_gauges(status: &SubscriberStatus) -> Vec<Named<f64>> {
+    let (at, head) = (status.at.unwrap_or_default(), status.head.unwrap_or_default());
+    let mut gauges = upstream_gauges(status);
+    gauges.extend([
+        gauge("head", "Events of its epoch that it was told of", head.position as f64),
+        gauge("watermark", "Events of its epoch that it has applied", at.position as f64),
+        gauge("purges", "Purges that are kept", status.purges as f64),
+    ]);
+    gauges
+}
+
+fn upstream_gauges(status: &SubscriberStatus) -> Vec<Named<f64>> {
+    vec![
+        gauge("lag", "Events that it was told of and has not applied", lag(status) as f64),
+        gauge("lease_held", "1 while it holds a lease", flag(status.lease_left.is_some())),
+        gauge("lease_left_seconds", "What is left of its lease", seconds(status.lease_left.unwrap_or(0))),
+        gauge("fetching_snapshot", "1 while a snapshot is fetched", flag(status.fetching_snapshot)),
+    ]
+}
+
+/// A line of the log.
+pub fn log_notice(log: &Logger, notice: &Notice) {
+    match notice {
+        Notice::Leased { relay, without } => {
+            info!(log, "lease held"; "relay" => relay, "without_us" => without)
+        }
+        Notice::Lapsed { relay } => {
+            warn!(log, "lease lapsed: the age of copies is bounded"; "relay" => relay)
+        }
+        Notice::Switched { from, to } => warn!(log, "turned to another relay"; "from" => from, "to" => to),
+        Notice::SnapshotBegun { relay } => info!(log, "snapshot begun"; "relay" => relay),
+        Notice::SnapshotDone { purges, took, at } => {
+            info!(log, "snapshot done"; "purges" => purges, "took_us" => took, "at" => position(Some(*at)))
+        }
+        Notice::NewEpoch { at } => warn!(log, "new epoch of the publisher"; "at" => position(Some(*at))),
+        Notice::FloorRaised { floor } => {
+            error!(log, "no room for all purges: copies from before this stamp are refused"; "stamp_us" => floor)
+        }
+        Notice::SubscriberLate { name } => warn!(log, "subscriber lost its lease"; "who" => name),
+    }
+}
--- a/crates/front/src/report/fleet.rs
+++ b/crates/front/src/report/fleet.rs
@@ -140,7 +140,7 @@
                 ("datagrams_sent", "Datagrams sent", one(counts.sent)),
                 ("bytes_sent", "Bytes sent, by what they were sent for", spent),
                 ("held_back", "Parts of an exchange that waited for bytes a second", one(counts.held_back)),
-                ("unsent", "Datagrams that the kernel did not take", one(fronts.unsent)),
+                ("unsent", "Datagrams that the kernel did not take", one(fronts.datagrams.unsent)),
                 ("chunks_sent", "Parts of an exchange sent over streams", one(counts.chunks)),
                 ("streams_opened", "Streams opened to other fronts", one(streams.opened)),
                 ("streams_lost", "Streams that ended with something unsent", one(streams.lost)),
--- /dev/null
+++ b/crates/front/tests/events.rs
@@ -0,0 +1,423 @@
+//! Purges by relays, with real processes: a publisher, relays and fronts, before stand-ins for caches and the journal
+//! service. What the protocol does by itself is shown in `meadowrill-events`.
+
+use meadowrill_standins::journal::Speaking;
+use meadowrill_standins::*;
+use serde_json::{json, Value};
+use std::io::BufRead;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU8, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+
+/// What no front of these tests is told by a purge.
+const OTHER: &str = "00000000000000aa";
+/// As in the settings' defaults.
+const COPY_AGE_MS: u64 = 2_000;
+/// The number of the event that all know from their start.
+const KNOWN: u64 = 1;
+/// The relay that publishes.
+const PUBLISHER: usize = 0;
+const LOOK: Duration = Duration::from_millis(20);
+
+/// An address that nobody else comes upon: each has a loopback address of its own.
+fn free() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [low, high, ..] = std::process::id().to_le_bytes();
+    let own = Ipv4Addr::new(127, 128 + high % 64, low, NEXT.fetch_add(1, Relaxed));
+    UdpSocket::bind((own, 0)).and_then(|socket| socket.local_addr()).unwrap()
+}
+
+fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + HANG;
+    while !holds() {
+        assert!(Instant::now() < end, "never: {what}");
+        std::thread::sleep(LOOK);
+    }
+}
+
+/// What a command to an operators' socket prints.
+fn told(socket: &Path, words: &[&str]) -> String {
+    let mut command = Command::new(program::binary());
+    let (first, rest) = words.split_first().unwrap();
+    let done = command.arg(first).arg(socket).args(rest).output().unwrap();
+    String::from_utf8(done.stdout).unwrap()
+}
+
+/// What `fleet SOCKET events --json` tells; null where nobody answers.
+fn events(socket: &Path) -> Value {
+    serde_json::from_str(&told(socket, &["fleet", "events", "--json"])).unwrap_or_default()
+}
+
+fn purge_of(item: &str) -> Value {
+    json!({"expire": {"name": item, "stamp": now_ms() as u64}})
+}
+
+/// Relays and what they need: one publishes what a journal service tells.
+struct Site {
+    folder: tempfile::TempDir,
+    service: Speaking,
+    service_address: SocketAddr,
+    /// Of fronts that are told nothing by it.
+    silent: Journal,
+    relays: Vec<SocketAddr>,
+}
+
+impl Site {
+    fn new(relays: usize) -> Site {
+        let service = Speaking::start();
+        Site {
+            folder: tempfile::tempdir().unwrap(),
+            service_address: service.address,
+            service,
+            silent: Journal::start(),
+            relays: (0..relays).map(|_| free()).collect(),
+        }
+    }
+
+    fn socket(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.sock"))
+    }
+
+    /// The part of the settings that is the same for all.
+    fn events(&self) -> String {
+        let relay = |(n, address): (usize, &SocketAddr)| {
+            let publishes = n == PUBLISHER;
+            format!("relay {{ name: \"r{n}\" address: \"{address}\" publishes: {publishes} }}")
+        };
+        let relays: Vec<String> = self.relays.iter().enumerate().map(relay).collect();
+        format!("events {{ {} }}", relays.join("\n"))
+    }
+
+    fn relay_settings(&self, n: usize) -> String {
+        let publish = format!("publish {{ journal: \"{}\" after: {KNOWN} }}", self.service_address);
+        let publish = if n == PUBLISHER { publish } else { String::new() };
+        format!(
+            "operators {{ socket: \"{}\" }}\nfleet {{ listen: \"{}\"\n{}\nrelay {{ name: \"r{n}\" {publish} }} }}",
+            self.socket(&format!("r{n}")).display(),
+            self.relays[n],
+            self.events(),
+        )
+    }
+
+    fn relay(&self, n: usize) -> Program {
+        Program::relay(&self.relay_settings(n))
+    }
+
+    fn all_relays(&self) -> Vec<Program> {
+        (0..self.relays.len()).map(|n| self.relay(n)).collect()
+    }
+
+    /// A front that hears of purges by relays only.
+    fn front(&self, name: &str) -> Front {
+        let fleet = format!("listen: \"{}\" {}", free(), self.events());
+        Front::start(name, self.socket(name), &fleet, self.silent.address)
+    }
+
+    /// One that holds a lease.
+    fn leased_front(&self, name: &str) -> Front {
+        let front = self.front(name);
+        until("a lease", || front.leased());
+        front
+    }
+
+    /// Purges that are in force everywhere, as the publisher says.
+    fn in_force(&self) -> u64 {
+        events(&self.socket("r0"))["in_force"].as_u64().unwrap_or(0)
+    }
+}
+
+/// A front with one cache and one client, which comes when it is needed: fronts end idle connections.
+struct Front {
+    program: Program,
+    socket: PathBuf,
+    cache: Rc<Cache>,
+    client: Option<Client>,
+    streams: std::ops::RangeFrom<u32>,
+}
+
+impl Front {
+    fn start(name: &str, socket: PathBuf, fleet: &str, journal: SocketAddr) -> Front {
+        Front::before(Rc::new(Cache::start(ok(b"fine"))), name, socket, fleet, journal)
+    }
+
+    fn before(cache: Rc<Cache>, name: &str, socket: PathBuf, fleet: &str, journal: SocketAddr) -> Front {
+        let mut config = config(&[("s-a", cache.address)], journal);
+        config["name"] = name.into();
+        let settings = format!("operators {{ socket: \"{}\" }}\nfleet {{ {fleet} }}", socket.display());
+        let program = Program::with_settings(&config, &settings);
+        Front { program, socket, cache, client: None, streams: 1.. }
+    }
+
+    fn leased(&self) -> bool {
+        events(&self.socket)["lease_left_us"].is_i64()
+    }
+
+    /// Writes a lookup without waiting for its answer.
+    fn ask(&mut self, item: &str) {
+        let stream = self.streams.next().expect("a stream");
+        let client = self.client.get_or_insert_with(|| Client::new(&self.program));
+        client.write(&ask(stream, "map", &[("item", item)], b""));
+    }
+
+    /// How old a copy may be, as the cache was told with the request that was written before.
+    fn oldest_asked(&mut self) -> Option<u64> {
+        let client = self.client.as_mut().expect("a client");
+        assert_eq!(client.answer().code(), 0);
+        header(&self.cache.request().1, "Oldest-Ms").map(|ms| ms.parse().unwrap())
+    }
+
+    fn oldest(&mut self, item: &str) -> Option<u64> {
+        self.ask(item);
+        self.oldest_asked()
+    }
+}
+
+#[test]
+fn a_purge_told_to_the_publisher_bounds_copies_at_both_fronts_once_it_is_said_to_be_done() {
+    let site = Site::new(3);
+    let _relays = site.all_relays();
+    let mut fronts = [site.leased_front("n1"), site.leased_front("n2")];
+    for front in &mut fronts {
+        assert_eq!(front.oldest(OBJECT), None);
+    }
+    let purged = now_ms();
+    site.service.tell(purge_of(OBJECT));
+    until("done", || site.in_force() == 1);
+    // The first lookup after the word: nothing older than the purge.
+    for front in &mut fronts {
+        let bound = front.oldest(OBJECT).expect("a bound");
+        let since = (now_ms() - purged) as u64;
+        assert!(bound <= since, "{bound} ms, purged {since} ms ago");
+        assert!(front.leased());
+        assert_eq!(front.oldest(OTHER), None);
+        let told_events = events(&front.socket);
+        assert_eq!((&told_events["role"], &told_events["lag"]), (&json!("front"), &json!(0)));
+        assert_eq!(told_events["watermark"]["position"], 1);
+        let metrics = told(&front.socket, &["metrics"]);
+        for line in ["meadowrill_events_lease_held 1.0", "meadowrill_events_watermark 1.0"] {
+            assert!(metrics.contains(line), "{line} is not in\n{metrics}");
+        }
+        assert_eq!(metrics.matches("# EOF").count(), 1);
+    }
+    // A group as well: all that are in it.
+    site.service.tell(json!({"expire": {"set": 17, "stamp": now_ms() as u64}}));
+    until("done", || site.in_force() == 2);
+    for front in &mut fronts {
+        assert!(front.oldest(OTHER).is_some());
+    }
+    let publisher = site.socket("r0");
+    let told_events = events(&publisher);
+    assert_eq!((&told_events["role"], &told_events["name"]), (&json!("publisher"), &json!("r0")));
+    assert_eq!(told_events["done"], told_events["head"]);
+    assert_eq!((&told_events["done_age_us"], &told_events["late"]), (&json!(0), &json!([])));
+    assert!(told(&publisher, &["fleet", "events"]).contains("done          2 of epoch"));
+    let metrics = told(&publisher, &["metrics"]);
+    for line in ["meadowrill_events_done 2.0", "meadowrill_events_in_force_seconds_count 2"] {
+        assert!(metrics.contains(line), "{line} is not in\n{metrics}");
+    }
+    let relay = events(&site.socket("r1"));
+    assert_eq!((&relay["role"], &relay["upstream"]["relay"]), (&json!("relay"), &json!("r0")));
+}
+
+#[test]
+fn a_front_that_was_stopped_beyond_its_lease_bounds_copies_in_its_first_request() {
+    let site = Site::new(2);
+    let relays = site.all_relays();
+    let mut front = site.leased_front("n1");
+    assert_eq!(front.oldest(OBJECT), None);
+    front.program.pause();
+    until("no lease is held at any relay", || {
+        (0..relays.len()).all(|n| {
+            let fed = events(&site.socket(&format!("r{n}")));
+            // The other relay is a subscriber of the publisher.
+            fed["leased"] == if n == PUBLISHER { 1 } else { 0 }
+        })
+    });
+    // None answers before the front has been asked.
+    relays.iter().for_each(Program::pause);
+    front.ask(OBJECT);
+    front.program.resume();
+    let bound = front.oldest_asked().expect("a bound");
+    assert!(bound <= COPY_AGE_MS, "{bound}");
+    relays.iter().for_each(Program::resume);
+    until("no bound", || front.oldest(OBJECT).is_none());
+}
+
+#[test]
+fn a_front_that_has_just_started_gets_what_still_binds() {
+    let site = Site::new(3);
+    let _relays = site.all_relays();
+    let purged = now_ms();
+    site.service.tell(purge_of(OBJECT));
+    until("done", || site.in_force() == 1);
+    // What the purge bounds has to differ from what a front without a lease is bound to.
+    until("some time after the purge", || now_ms() - purged > 2 * u128::from(COPY_AGE_MS));
+    let mut front = site.leased_front("n1");
+    assert_eq!(front.oldest(OTHER), None);
+    let bound = front.oldest(OBJECT).expect("a bound");
+    assert!(bound > COPY_AGE_MS && u128::from(bound) <= now_ms() - purged, "{bound}");
+}
+
+#[test]
+fn without_any_relay_lookups_go_on_with_bounded_copies() {
+    let site = Site::new(3);
+    // From its first request on, where there has been none yet.
+    let mut front = site.front("n1");
+    assert!(front.oldest(OBJECT).is_some_and(|bound| bound <= COPY_AGE_MS));
+    let relays = site.all_relays();
+    until("no bound", || front.oldest(OBJECT).is_none());
+    drop(relays);
+    until("a bound", || front.oldest(OBJECT).is_some_and(|bound| bound <= COPY_AGE_MS));
+    assert!(told(&front.socket, &["fleet", "events"]).contains("lease         none"));
+    assert!(front.oldest(OBJECT).is_some());
+    let _relays = site.all_relays();
+    until("no bound", || front.oldest(OBJECT).is_none());
+    let metrics = told(&front.socket, &["metrics"]);
+    let lapses = "meadowrill_events_lapses_total{side=\"upstream\"} 1";
+    assert!(metrics.contains(lapses), "{metrics}");
+}
+
+/// Its journal service is silent all the while. Without relays its copies would be bounded 7 s after the last word.
+#[test]
+fn a_lease_stands_for_the_word_of_the_journal_service() {
+    let site = Site::new(1);
+    let _relays = site.all_relays();
+    let mut front = site.leased_front("n1");
+    site.service.tell(purge_of(OBJECT));
+    until("a bound", || front.oldest(OBJECT).is_some());
+    let begun = Instant::now();
+    until("over 8 s", || {
+        if front.oldest(OTHER).is_some() {
+            assert!(!front.leased(), "bounded with a lease");
+        }
+        begun.elapsed() > Duration::from_secs(8)
+    });
+}
+
+#[test]
+fn a_publisher_that_its_journal_service_tells_nothing_grants_no_leases_in_the_end() {
+    let mut site = Site::new(2);
+    let service = Peer::listen();
+    site.service_address = service.address;
+    let _relays = site.all_relays();
+    let mut front = site.front("n1");
+    // What it grants at first is bounded: within that it may come into touch.
+    until("a lease", || front.leased());
+    until("none", || !front.leased());
+    assert!(front.oldest(OBJECT).is_some_and(|bound| bound <= COPY_AGE_MS));
+    // All that it has to tell was told: leases are granted again.
+    let mut talks = Vec::new();
+    until("a lease", || {
+        while let Some(mut talk) = service.accept_within(LOOK) {
+            talk.write(&format!("{KNOWN}\n"));
+            talks.push(talk);
+        }
+        front.leased()
+    });
+    assert_eq!(front.oldest(OBJECT), None);
+}
+
+/// One front has events and shares state, the other shares state only: an earlier build, or settings not yet changed.
+#[test]
+fn a_mixed_fleet_hears_every_purge() {
+    let site = Site::new(2);
+    let _relays = site.all_relays();
+    let (own, other) = (Speaking::start(), Speaking::start());
+    let at = [free(), free()];
+    let fleet = |n: usize| {
+        let (listen, contact) = (at[n], at[1 - n]);
+        format!("listen: \"{listen}\" contact: \"{contact}\" period_ms: 100 replica {{ period_ms: 100 }}")
+    };
+    let with_events = format!("{} {}", fleet(0), site.events());
+    // Fronts that share know each other's caches: here it is the same one.
+    let cache = Rc::new(Cache::start(ok(b"fine")));
+    let mut with = Front::before(Rc::clone(&cache), "n1", site.socket("n1"), &with_events, own.address);
+    let mut without = Front::before(cache, "n2", site.socket("n2"), &fleet(1), other.address);
+    until("a lease", || with.leased());
+    for front in [&with, &without] {
+        until("both there", || told(&front.socket, &["fleet"]).matches("  alive  ").count() == 2);
+    }
+    // A service tells the publisher and the front without events: each hears in its way.
+    let purge = purge_of(OBJECT);
+    site.service.tell(purge.clone());
+    other.tell(purge);
+    until("with events", || with.oldest(OBJECT).is_some());
+    until("without events", || without.oldest(OBJECT).is_some());
+    // What only the front without events was told comes from it.
+    let heard = "00000000000000ab";
+    assert_eq!(with.oldest(heard), None);
+    other.tell(purge_of(heard));
+    until("from the other front", || with.oldest(heard).is_some());
+    // What its own service tells the front with events counts at once, and does not go to other fronts.
+    let own_word = "00000000000000ac";
+    let purges = |front: &Front| {
+        let state: Value = serde_json::from_str(&told(&front.socket, &["fleet", "state", "--json"])).unwrap();
+        state["kinds"]["purge"]["records"].as_u64().unwrap_or(0)
+    };
+    let before = purges(&with);
+    assert!(before >= 1);
+    own.tell(purge_of(own_word));
+    until("its own service", || with.oldest(own_word).is_some());
+    assert_eq!(purges(&with), before);
+}
+
+#[test]
+fn a_faulty_file_ends_the_start_with_the_key() {
+    let site = Site::new(2);
+    let refused = |settings: &str| {
+        let file = site.folder.path().join("faulty");
+        std::fs::write(&file, settings).unwrap();
+        let mut command = Command::new(program::binary());
+        let done = command.arg("relay").arg("--settings").arg(&file).output().unwrap();
+        assert!(!done.status.success());
+        String::from_utf8(done.stderr).unwrap()
+    };
+    let good = site.relay_settings(1);
+    let faulty = good.replace("relay { name: \"r1\"  }", "relay { name: \"r9\" }");
+    assert!(refused(&faulty).contains("fleet.relay.name"), "{}", refused(&faulty));
+    let faulty = good.replace("events {", "events { lease_ms: 1");
+    assert!(refused(&faulty).contains("fleet.events.lease_ms"), "{}", refused(&faulty));
+    let listen = site.relays[1];
+    let said = refused(&format!("fleet {{ listen: \"{listen}\" }}"));
+    assert!(said.contains("fleet.events: ") && said.contains("is missing"), "{said}");
+    let said = refused("log { form: TEXT }");
+    assert!(said.contains("fleet: ") && said.contains("is missing"), "{said}");
+}
+
+#[test]
+fn a_relay_names_what_waits_for_the_next_start_and_ends_on_sigterm() {
+    let site = Site::new(2);
+    let mut relay = Program::relay_unread(&site.relay_settings(1));
+    let mut log = relay.log.take().unwrap();
+    let mut next_with = |word: &str| {
+        let mut line = String::new();
+        while !line.contains(word) {
+            line.clear();
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended before {word}");
+        }
+        line
+    };
+    relay.reload("fleet { listen: \"nowhere\" }");
+    assert!(next_with("settings refused").contains("fleet.listen"));
+    relay.reload(&site.relay_settings(1).replace("events {", "events { keep_s: 60"));
+    assert!(next_with("takes effect at the next start only").contains("fleet.events"));
+    relay.signal("-USR1");
+    assert!(next_with("events, ").contains("subscribers: 0"));
+    assert!(site.socket("r1").exists());
+    relay.terminate();
+    assert!(relay.ends_within(HANG));
+    assert!(!site.socket("r1").exists());
+}
+
+#[test]
+fn nothing_of_it_is_there_without_the_settings() {
+    let site = Site::new(1);
+    let fleet = format!("listen: \"{}\"", free());
+    let mut front = Front::start("n1", site.socket("n1"), &fleet, site.silent.address);
+    assert_eq!(front.oldest(OBJECT), None);
+    assert_eq!(told(&front.socket, &["fleet", "events"]), "no fleet { events { } } in the settings\n");
+    assert!(!told(&front.socket, &["metrics"]).contains("meadowrill_events"));
+}
