--- /dev/null
+++ b/crates/front/tests/process.rs
@@ -0,0 +1,94 @@
+//! The program as a process: how it starts, follows one that was killed, logs and ends.
+
+use meadowrill_standins::program::own_address;
+use meadowrill_standins::*;
+use serde_json::json;
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_faulty_configuration_ends_with_the_name_of_the_key() {
+    let nowhere = "127.0.0.1:1".parse().unwrap();
+    let mut config = config(&[], nowhere);
+    config["limits"]["sockets"] = json!("many");
+    let (mut command, _path) = Program::command(&config);
+    let output = command.output().unwrap();
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    assert!(text.contains("limits.sockets: ") && !text.contains("listening"), "{text}");
+}
+
+#[test]
+fn a_signal_to_end_leaves_nothing_unanswered() {
+    let cache = Cache::start(Does::Nothing);
+    let (mut program, _journal) = Program::simple(&cache);
+    let mut client = Client::new(&program);
+    client.write(&ask(1, "map", &[("limit", "2000")], b""));
+    cache.request();
+    cache.does(ok(b"late"));
+    program.terminate();
+    while client.ready() == 0 {}
+    // Connections and lookups go on coming for a while.
+    assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
+    assert_eq!(client.lookup(2, "map").code(), 0);
+    let mut rest: Vec<(u8, u32)> = std::iter::from_fn(|| client.hear()).map(|f| (f.kind, f.stream)).collect();
+    rest.sort_unstable();
+    assert_eq!(rest, [(66, 1), (90, 0)]);
+    assert!(program.child.wait().unwrap().success());
+}
+
+#[test]
+fn a_log_that_nobody_reads_stops_nothing() {
+    for closed in [true, false] {
+        let cache = Cache::start(ok(b"fine"));
+        let journal = Journal::start();
+        let mut program = Program::unread(&config(&[("s-a", cache.address)], journal.address));
+        if closed {
+            program.log = None;
+        }
+        // More lines than a pipe and the queue before it hold.
+        let (_, mut service) = journal.greeting();
+        let purge = json!({"pos": 2, "expire": {"set": 17, "stamp": now_ms() as u64}});
+        service.write_all(format!("{}{purge}\n", "{bad\n".repeat(3000)).as_bytes()).unwrap();
+        let mut client = Client::new(&program);
+        let mut told = (1..10_000).map(|stream| {
+            assert_eq!(client.lookup(stream, "map").code(), 0);
+            header(&cache.request().1, "Oldest-Ms").is_some()
+        });
+        assert!(told.any(|told| told));
+        program.terminate();
+        assert!(program.child.wait().unwrap().success());
+    }
+}
+
+/// How soon the platform wants a front to be ready.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+
+#[test]
+fn one_killed_behind_an_accept_is_followed_at_its_address_by_one_that_serves_in_time() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let folder = tempfile::tempdir().unwrap();
+    let settings = format!("operators {{ socket: \"{}\" }}", folder.path().join("operators").display());
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["listen"] = json!(format!("{}:0", own_address()));
+    let mut killed = Program::with_settings(&config, &settings);
+    config["listen"] = json!(killed.address.to_string());
+    journal.greeting();
+    assert_eq!(Client::new(&killed).lookup(1, "map").code(), 0);
+    let mut held = Client::new(&killed);
+    // It has been accepted once it is answered; then half a request comes, and the front is gone.
+    assert_eq!(held.ready(), 0);
+    held.write(&ask(1, "map", &[], b"")[..20]);
+    killed.kill();
+    let start = Instant::now();
+    let successor = Program::with_settings(&config, &settings);
+    assert_eq!(successor.address, killed.address);
+    let mut client = Client::new(&successor);
+    assert_eq!(client.ready(), 0);
+    assert_eq!(client.lookup(1, "map").code(), 0);
+    assert!(start.elapsed() < READY_WITHIN, "{:?}", start.elapsed());
+    assert_eq!(journal.greeting().0, "tail 1\n");
+    // The one that was accepted has heard of its end, and is still there on the client's side until here.
+    assert_eq!(held.hear(), None);
+}
