--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,17 +3,19 @@
 
 mod actions;
 pub(crate) mod availability;
-mod clock;
+mod events;
 mod fleet;
 mod list;
 mod lookups;
 mod outcomes;
 mod passage;
 mod shared;
+mod timer;
 
 use self::availability::Availability;
-use self::clock::{Clock, Timer};
 use self::lookups::{Effect, Taken};
+use self::timer::Timer;
+use crate::clock::Clock;
 use crate::config::Config;
 use crate::frame;
 use crate::net::caches::{Caches, Ended, Out};
@@ -29,6 +31,7 @@
 use meadowrill_core::control;
 use meadowrill_core::door::{contained, Indices};
 use meadowrill_core::interface::*;
+use meadowrill_events::subscriber::CopyBound;
 use meadowrill_turns::door::{Bounds, Door, Turn};
 use meadowrill_turns::names::Names;
 use meadowrill_turns::plan::{ClientBy, Plan};
@@ -77,6 +80,8 @@
     /// The others of the fleet, where the settings tell of one, and when its view wants to be asked next.
     fronts: Option<Fronts>,
     fleet_at: Micros,
+    /// What copies may be served, as the decisions were told; none before the first word, and without a subscription.
+    copy_bound: Option<CopyBound>,
     /// Further counts of a bench build.
     counts: Option<fn() -> String>,
     caches: Caches,
@@ -144,6 +149,7 @@
             operators: operators.transpose()?,
             fronts: fronts.transpose()?,
             fleet_at: 0,
+            copy_bound: None,
             counts,
             caches: Caches::new(config.caches, config.conn_idle),
             journal: Journal::new(config.journal, last),
@@ -166,6 +172,7 @@
             log,
             config,
         };
+        front.subscribe(now);
         // Where state is shared, other fronts are asked for it first.
         front.clients.ready = !front.shares();
         front.know(now);
@@ -180,17 +187,7 @@
     pub fn run(&mut self, events: &mut EventLoop<'static, Gathered>) -> io::Result<()> {
         let mut gathered = Vec::new();
         while !self.ended() {
-            let timer = self.due();
-            let next = [timer, self.door.next()].into_iter().flatten().min();
-            let next = next.map_or(TICK, |at| at - self.clock.now());
-            let more = self.fronts.as_ref().is_some_and(Fronts::waits);
-            let at_once = !self.events.is_empty() || !self.over.is_empty() || self.clients.waits() || more;
-            let pause = if at_once { 0 } else { next.max(0) as u64 };
-            if self.poll.wait(Duration::from_micros(pause), &mut gathered)? {
-                // The library's poller: time, its re-arming, the wait, its note and that re-armed.
-                add(&self.poll.calls.waits, 5);
-                events.dispatch(Some(Duration::ZERO), &mut gathered).map_err(io::Error::other)?;
-            }
+            self.wait(events, &mut gathered)?;
             let now = self.clock.now();
             self.gather(&mut gathered, now);
             let actions = std::mem::take(&mut self.spare.actions);
@@ -204,6 +201,22 @@
         Ok(())
     }
 
+    /// Waits until something is ready or a timer rings.
+    fn wait(&mut self, events: &mut EventLoop<'static, Gathered>, gathered: &mut Gathered) -> io::Result<()> {
+        let timer = self.due();
+        let next = [timer, self.door.next()].into_iter().flatten().min();
+        let next = next.map_or(TICK, |at| at - self.clock.now());
+        let more = self.fronts.as_ref().is_some_and(Fronts::waits);
+        let at_once = !self.events.is_empty() || !self.over.is_empty() || self.clients.waits() || more;
+        let pause = if at_once { 0 } else { next.max(0) as u64 };
+        if self.poll.wait(Duration::from_micros(pause), gathered)? {
+            // The library's poller: time, its re-arming, the wait, its note and that re-armed.
+            add(&self.poll.calls.waits, 5);
+            events.dispatch(Some(Duration::ZERO), gathered).map_err(io::Error::other)?;
+        }
+        Ok(())
+    }
+
     /// When the next timer rings. Those of sends that have ended are passed over: each would wake the loop for nothing.
     fn due(&mut self) -> Option<Micros> {
         loop {
@@ -243,7 +256,7 @@
                 .extend(std::mem::take(&mut self.held_back).into_iter().map(|key| (key, Readiness::EMPTY)));
         }
         if self.fronts.as_ref().is_some_and(Fronts::waits) {
-            gathered.push((Key::Fronts, Readiness::EMPTY));
+            gathered.push((Key::Datagrams, Readiness::EMPTY));
         }
         gathered.extend(self.clients.more().into_iter().map(|n| (Key::Client(n), Readiness::EMPTY)));
         gathered.sort_unstable_by_key(|(key, _)| *key);
@@ -262,7 +275,7 @@
                         fronts.streams.drop(number, poll);
                     }),
                     Key::Door
-                    | Key::Fronts
+                    | Key::Datagrams
                     | Key::Chunks
                     | Key::Operators
                     | Key::Reload
@@ -294,7 +307,7 @@
             }
             Key::Signal => {}
             Key::Reload => self.reload(now),
-            Key::Fronts => self.with_fronts(now, |fronts, poll| fronts.read(now, poll)),
+            Key::Datagrams => self.with_fronts(now, |fronts, poll| fronts.read(now, poll)),
             Key::Chunks => self.with_fronts(now, |fronts, poll| fronts.streams.accept(now, poll)),
             Key::Stream(number) => {
                 self.with_fronts(now, |fronts, poll| fronts.stream(number, ready, now, poll));
@@ -306,7 +319,14 @@
                 let (calls, counts, fronts) = (&self.poll.calls, self.counts, &self.fronts);
                 let tell = |word: &str| match word {
                     "turns" => report::table(&door.report()),
-                    "metrics" => metrics.text(door, availability, fronts.as_ref()),
+                    "metrics" => metrics.text(door, availability, fronts.as_ref(), now),
+                    "fleet events" | "fleet events json" => {
+                        match fronts.as_ref().and_then(report::events::SubscriptionReport::new) {
+                            None => "no fleet { events { } } in the settings\n".to_string(),
+                            Some(events) if word == "fleet events" => events.table(now),
+                            Some(events) => events.json(now),
+                        }
+                    }
                     "fleet" | "fleet json" => match (fronts, word) {
                         (None, _) => "no fleet in the settings\n".to_string(),
                         (Some(fronts), "fleet") => report::fleet::table(fronts.view(), now),
@@ -484,3 +504,6 @@
         self.spare.heard = all;
     }
 }
+
+#[cfg(test)]
+mod tests;
