--- a/crates/events/src/distributor.rs
+++ b/crates/events/src/distributor.rs
@@ -49,7 +49,6 @@
     sent: Option<LogPosition>,
     /// The last heartbeat has not been answered since then.
     unanswered_since: Option<Micros>,
-    sent_again_at: Option<Micros>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -77,9 +76,20 @@
     }
 
     /// Everything up to here has been applied by this member and by all that hold a lease of it. Whoever is behind gets
-    /// no lease from now on.
-    pub fn report(&mut self, own: LogPosition) -> LogPosition {
-        self.leases.report(own)
+    /// no lease from now on. Those that wait for their first lease and do not lag are not put behind by it: else none
+    /// would come up with a log that grows with each batch.
+    pub fn report(&mut self, now: Micros, log: &EventLog, own: LogPosition) -> LogPosition {
+        let due = log.reached_by(now - self.plan.lag_most);
+        let waiting =
+            self.subscriptions.values().filter(|subscription| subscription.is_live(now, &self.plan));
+        let waiting = waiting.filter(|subscription| due.is_none_or(|due| subscription.at >= Some(due)));
+        let least = waiting.filter_map(|subscription| subscription.acknowledged).fold(own, LogPosition::min);
+        self.leases.report(least)
+    }
+
+    /// Before the first lease: whoever is behind this gets none.
+    pub fn bar_behind(&mut self, at: LogPosition) {
+        self.leases.report(at);
     }
 
     /// A heartbeat of a subscriber. The epoch that it is in, where that is newer than any known here.
@@ -159,7 +169,6 @@
             acknowledged: None,
             sent: None,
             unanswered_since: None,
-            sent_again_at: None,
         };
         self.subscriptions.insert(heartbeat.name.clone(), subscription);
         Ok(())
--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod budget;
 pub mod distributor;
+mod early;
 pub mod event;
 pub mod leases;
 pub mod log;
--- a/crates/events/src/plan.rs
+++ b/crates/events/src/plan.rs
@@ -85,14 +85,7 @@
     /// its last lease after `lag_most`, and one that has gone keeps it for `lease`.
     pub fn done_within(&self) -> Micros {
         let last_lease = self.lag_most + self.with_drift(self.lease) + 4 * self.batch;
-        last_lease.max(self.settled_after() + 2 * self.batch)
-    }
-
-    /// How old an event is at least once it is said to be in force everywhere: those without a lease serve no copies that
-    /// old, and each member in line has had the time in which those that it feeds have to follow.
-    pub(crate) fn settled_after(&self) -> Micros {
-        let members_in_line = Micros::from(RELAYS_IN_LINE) + 1;
-        self.with_drift(self.copy_age).max(members_in_line * self.lag_most)
+        last_lease.max(self.with_drift(self.copy_age) + 2 * self.batch)
     }
 
     pub fn check(&self) -> Result<(), Faulty> {
--- a/crates/events/src/publisher.rs
+++ b/crates/events/src/publisher.rs
@@ -233,7 +233,7 @@
         if let Some(head) = self.log.position() {
             self.cuts.push_back(Cut { at: now, head });
         }
-        let moment = now - self.plan.settled_after();
+        let moment = now - self.plan.with_drift(self.plan.copy_age);
         while self.cuts.get(1).is_some_and(|second| second.at <= moment) {
             self.cuts.pop_front();
         }
@@ -246,7 +246,7 @@
         }
         if let Some(head) = self.log.position() {
             self.is_told_all = true;
-            self.distributor.report(head);
+            self.distributor.bar_behind(head);
         }
     }
 
@@ -280,10 +280,9 @@
     /// What is in force everywhere only grows.
     fn update_done(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(head) = self.log.position() else { return };
-        let moment = now - self.plan.settled_after();
+        let moment = now - self.plan.with_drift(self.plan.copy_age);
         let Some(old) = self.cuts.front().filter(|cut| cut.at <= moment) else { return };
-        // Only what is old enough: a report of the head would bar whoever lacks the latest batch from a first lease.
-        let reported = self.distributor.report(old.head);
+        let reported = self.distributor.report(now, &self.log, old.head);
         let acknowledged = if mutant("done-without-acknowledgement") { old.head } else { reported };
         // Leases of an earlier start of the publisher may still be held.
         let earlier_leases_over =
--- a/crates/events/src/relay.rs
+++ b/crates/events/src/relay.rs
@@ -1,9 +1,8 @@
 //! A relay: follows the publisher or another relay, and feeds subscribers. It grants no lease beyond its own.
 
 use crate::distributor::{lease_to_hand_on, Distributor, Supply};
-use crate::event::LogPosition;
 use crate::output::{FeedStatus, Output, SubscriberStatus};
-use crate::plan::{Identity, Plan, RelayPlan, RELAYS_IN_LINE};
+use crate::plan::{Identity, Plan, RelayPlan};
 use crate::subscriber::{Role, Subscriber};
 use crate::wire::{self, Body};
 use crate::Micros;
@@ -57,21 +56,14 @@
             self.flush(now, out);
         }
         if now >= self.follower.next_wake() {
-            if let Some(due) = self.due(now) {
+            if let Some(own) = self.follower.position() {
                 // What is reported here binds: nobody behind it gets a lease any more.
-                self.follower.acknowledged = Some(self.distributor.report(due));
+                self.follower.acknowledged = Some(self.distributor.report(now, &self.follower.log, own));
             }
             self.follower.tick(now, out);
         }
     }
 
-    /// What all that may have a lease have had time to apply. A report of the own position would bar whoever lacks the
-    /// latest batch from a first lease; a relay that this one feeds reports what is so old by itself.
-    fn due(&self, now: Micros) -> Option<LogPosition> {
-        let spans = (RELAYS_IN_LINE + 1).saturating_sub(self.follower.hops()).max(1);
-        self.follower.log.reached_by(now - Micros::from(spans) * self.plan.lag_most)
-    }
-
     fn flush(&mut self, now: Micros, out: &mut Vec<Output>) {
         let supply = supply(&self.plan, &self.follower, now);
         self.distributor.flush(now, &supply, out);
--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -1,6 +1,7 @@
 //! The following side: a front, or a relay towards the one that feeds it. It asks one relay for events and for a lease,
 //! applies events in order, and turns to another relay where the first one fails.
 
+use crate::early::{EarlyBatch, EarlyBatches};
 use crate::event::{Epoch, Event, LogPosition};
 use crate::log::EventLog;
 use crate::output::{Counters, Notice, Output, Rejected, SubscriberStatus};
@@ -20,8 +21,8 @@
 /// The pause between tries while no relay answers, drawn from this range.
 const ALONE_LEAST: Micros = SECOND / 2;
 const ALONE_MOST: Micros = 3 * SECOND / 2;
-/// Refusals that add to the patience with one relay.
-const REFUSALS_MOST: u32 = 8;
+/// Refusals that add to the patience of a front with one relay.
+const REFUSALS_MOST: u32 = 3;
 /// The first request number is drawn below this, so that answers to an earlier start match none.
 const FIRST_REQUEST_MOST: u32 = 1 << 20;
 
@@ -79,6 +80,8 @@
     /// Since when the current relay grants none, and how often that made this one turn to another.
     refused_since: Micros,
     refusals: u32,
+    /// How often a relay has turned to another one beside the publisher.
+    asked_beside: usize,
     requests: VecDeque<Request>,
     next_request: u32,
     last_sent: Micros,
@@ -87,6 +90,9 @@
     unanswered: u32,
     unanswered_by_all: u32,
     gap: bool,
+    /// When something was last asked for again.
+    asked_again: Option<Micros>,
+    early: EarlyBatches,
     fetch: Option<Fetch>,
     home_at: Micros,
     seed: u64,
@@ -122,6 +128,7 @@
             without_since: Some(now),
             refused_since: now,
             refusals: 0,
+            asked_beside: 0,
             requests: VecDeque::new(),
             next_request: 1,
             last_sent: now,
@@ -129,6 +136,8 @@
             unanswered: 0,
             unanswered_by_all: 0,
             gap: false,
+            asked_again: None,
+            early: EarlyBatches::default(),
             fetch: None,
             home_at: now,
             seed,
@@ -207,8 +216,9 @@
         let patience = self.plan.lease * Micros::from(1 + self.refusals);
         let refuses = now - self.refused_since > patience;
         if self.unanswered >= self.plan.tries || refuses {
-            self.refusals = (self.refusals + u32::from(refuses)).min(REFUSALS_MOST);
-            return self.switch(now, (self.current + 1) % self.relays.len(), out);
+            self.refusals = (self.refusals + u32::from(refuses)).min(self.refusals_most());
+            let next = self.next_relay();
+            return self.switch(now, next, out);
         }
         let fresh = self.lease_left(now).is_some_and(|left| left > self.plan.lease / 2);
         if self.current != 0 && fresh && now >= self.home_at {
@@ -216,6 +226,29 @@
         }
     }
 
+    /// A relay without a lease asks the publisher again after each other relay: those that follow one another in a ring
+    /// would else wait for each other.
+    fn next_relay(&mut self) -> usize {
+        if self.role == Role::Relay && self.current != 0 {
+            return 0;
+        }
+        let others = self.relays.len() - 1;
+        match self.role {
+            Role::Front => (self.current + 1) % self.relays.len(),
+            Role::Relay => {
+                self.asked_beside += 1;
+                1 + (self.asked_beside - 1) % others
+            }
+        }
+    }
+
+    fn refusals_most(&self) -> u32 {
+        match self.role {
+            Role::Front => REFUSALS_MOST,
+            Role::Relay => 0,
+        }
+    }
+
     fn switch(&mut self, now: Micros, to: usize, out: &mut Vec<Output>) {
         let from = self.relay_name();
         self.current = to;
@@ -230,6 +263,10 @@
     fn send_heartbeat(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(to) = self.relays.get(self.current).map(|relay| relay.address) else { return };
         let at = self.log.position().map(Into::into);
+        let gap = std::mem::take(&mut self.gap);
+        if gap {
+            self.asked_again = Some(now);
+        }
         let heartbeat = Heartbeat {
             name: self.me.name.clone(),
             incarnation: self.me.incarnation,
@@ -237,7 +274,7 @@
             request: self.next_request,
             at,
             acknowledged: self.acknowledged.map(Into::into),
-            gap: std::mem::take(&mut self.gap),
+            gap,
             cursor: self.fetch.as_ref().and_then(|fetch| fetch.cursor).map(SnapshotPlace::of),
             snapshot: self.fetch.is_some(),
         };
@@ -301,9 +338,11 @@
             return Err(Rejected::Bounds);
         }
         let published = now - Micros::from(batch.age_ms) * MILLISECOND;
-        let followed = self.follow_epoch(now, place, &batch, out);
-        let taken =
-            followed.and_then(|()| self.take_events(now, published, place, events, batch.events, out));
+        let taken = self.follow_epoch(now, place, &batch, out);
+        if taken.is_ok() {
+            let early = EarlyBatch { first: place.position, events, packed: batch.events, published };
+            self.take_events(now, place.epoch, early, out);
+        }
         self.head = self.head.max(Some(LogPosition { position: batch.head, ..place }));
         if let Some(grant) = batch.grant {
             self.take_grant(now, grant, out)?;
@@ -330,6 +369,7 @@
         let linked = follows.is_some_and(|f| f.epoch == at.epoch && at.position >= f.position);
         if (linked && place.position == 0) || place.epoch < at.epoch {
             self.log.begin(place.epoch, follows);
+            self.early.clear();
             let at = LogPosition { position: 0, ..place };
             out.push(Output::Notice(Notice::NewEpoch { at }));
             return Ok(());
@@ -342,38 +382,44 @@
         Err(Rejected::Unexpected)
     }
 
-    fn take_events(
-        &mut self,
-        now: Micros,
-        published: Micros,
-        place: LogPosition,
-        events: Vec<Event>,
-        packed: Vec<u8>,
-        out: &mut Vec<Output>,
-    ) -> Result<(), Rejected> {
-        let Some(at) = self.log.position().filter(|at| at.epoch == place.epoch) else { return Ok(()) };
+    fn take_events(&mut self, now: Micros, epoch: Epoch, batch: EarlyBatch, out: &mut Vec<Output>) {
+        let Some(at) = self.log.position().filter(|at| at.epoch == epoch) else { return };
         // A batch without events tells what was sent before it.
         let tolerated = u64::from(mutant("resume-off-by-one"));
-        if place.position > at.position + tolerated {
+        if batch.first > at.position + tolerated {
             self.counters.gaps += 1;
+            self.early.insert(batch);
             self.ask_again(now);
-            return Ok(());
+            return;
+        }
+        self.take_in_order(batch, out);
+        while let Some(batch) = self.log.position().and_then(|at| self.early.take(at.position)) {
+            self.take_in_order(batch, out);
         }
-        let known = at.position.saturating_sub(place.position);
+        if self.log.position() > Some(at) {
+            self.gap = !self.early.is_empty();
+        }
+    }
+
+    /// A batch that begins no later than the log ends: what of it is new.
+    fn take_in_order(&mut self, batch: EarlyBatch, out: &mut Vec<Output>) {
+        let at = self.log.position().map_or(0, |at| at.position);
+        let EarlyBatch { first, events, packed, published } = batch;
+        let known = at.saturating_sub(first);
         if known >= events.len() as u64 {
-            return Ok(());
+            return;
         }
         self.counters.batches += 1;
         self.counters.events += events.len() as u64 - known;
         let fresh = self.log.append_rest(published, known as usize, &events, packed);
         out.extend(fresh.into_iter().map(Output::Apply));
-        Ok(())
     }
 
-    /// A heartbeat at once, but no more than one in half of a batch's time.
+    /// A heartbeat at once, but not before what the last one asked for can be here: it would all be sent once more.
     fn ask_again(&mut self, now: Micros) {
         self.gap = true;
-        let soonest = now.max(self.last_sent + self.plan.batch / 2);
+        let answered = self.asked_again.map_or(now, |asked| asked + self.plan.retry);
+        let soonest = now.max(self.last_sent + self.plan.batch / 2).max(answered);
         self.next_heartbeat = self.next_heartbeat.min(soonest);
     }
 
@@ -410,7 +456,8 @@
     fn receive_busy(&mut self, now: Micros, busy: Busy, out: &mut Vec<Output>) -> Result<(), Rejected> {
         self.answered(busy.request)?;
         if busy.full && self.relays.len() > 1 {
-            self.switch(now, (self.current + 1) % self.relays.len(), out);
+            let next = self.next_relay();
+            self.switch(now, next, out);
         }
         let pause = Micros::from(busy.retry_ms) * 1000;
         self.next_heartbeat = now + pause.clamp(self.plan.retry, 10 * SECOND);
@@ -471,6 +518,7 @@
         // A relay that is behind this one may have written a part: what was applied before still counts.
         fetch.at = self.log.position().map_or(fetch.at, |own| own.max(fetch.at));
         self.log.reset(fetch.at);
+        self.early.clear();
         self.next_heartbeat = now;
         self.refused_since = now;
         let (purges, took, at) = (fetch.purges, now - fetch.began, fetch.at);
--- /dev/null
+++ b/crates/events/tests/simulation/node.rs
@@ -0,0 +1,80 @@
+//! One member of the simulated network, and what comes to it.
+
+use super::checks::Known;
+use meadowrill_events::output::{Notice, Output};
+use meadowrill_events::publisher::Publisher;
+use meadowrill_events::relay::Relay;
+use meadowrill_events::subscriber::Subscriber;
+use meadowrill_events::Micros;
+use std::collections::VecDeque;
+
+/// Datagrams that wait for a member that is stopped or slow, as in the buffer of a socket. More are lost.
+const WAITING_MOST: usize = 256;
+
+pub enum Member {
+    Publisher(Box<Publisher>),
+    Relay(Box<Relay>),
+    Subscriber(Box<Subscriber>),
+}
+
+impl Member {
+    pub fn receive(&mut self, now: Micros, bytes: &[u8], out: &mut Vec<Output>) {
+        match self {
+            Member::Publisher(publisher) => publisher.receive(now, bytes, out),
+            Member::Relay(relay) => relay.receive(now, bytes, out),
+            Member::Subscriber(subscriber) => subscriber.receive(now, bytes, out),
+        }
+    }
+
+    pub fn tick(&mut self, now: Micros, out: &mut Vec<Output>) {
+        match self {
+            Member::Publisher(publisher) => publisher.tick(now, out),
+            Member::Relay(relay) => relay.tick(now, out),
+            Member::Subscriber(subscriber) => subscriber.tick(now, out),
+        }
+    }
+
+    pub fn next_wake(&self) -> Micros {
+        match self {
+            Member::Publisher(publisher) => publisher.next_wake(),
+            Member::Relay(relay) => relay.next_wake(),
+            Member::Subscriber(subscriber) => subscriber.next_wake(),
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Node {
+    pub member: Option<Member>,
+    pub paused: bool,
+    /// Its clock runs so much faster, in parts per million, and is so far ahead.
+    pub drift_ppm: i64,
+    pub clock_offset: Micros,
+    /// It reads no more datagrams than this in one step, where that is set.
+    pub reads_most: Option<usize>,
+    /// Purges that it has applied since its start.
+    pub known: Known,
+    pub notices: Vec<Notice>,
+    pub waiting: VecDeque<Vec<u8>>,
+}
+
+impl Node {
+    pub fn put(&mut self, bytes: Vec<u8>) {
+        if self.waiting.len() < WAITING_MOST {
+            self.waiting.push_back(bytes);
+        }
+    }
+
+    /// What it knows and what waits for it is gone.
+    pub fn clear(&mut self) {
+        self.known = Known::default();
+        self.waiting.clear();
+    }
+
+    pub fn subscriber(&self) -> Option<&Subscriber> {
+        match &self.member {
+            Some(Member::Subscriber(subscriber)) => Some(subscriber),
+            _ => None,
+        }
+    }
+}
