--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod distributor;
 mod early;
 pub mod event;
+mod fetch;
 pub mod leases;
 pub mod log;
 pub mod output;
--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -3,10 +3,11 @@
 
 use crate::early::{EarlyBatch, EarlyBatches};
 use crate::event::{Epoch, Event, LogPosition};
+use crate::fetch::{Fetch, Progress, Reach};
 use crate::log::EventLog;
 use crate::output::{Counters, Notice, Output, Rejected, SubscriberStatus};
 use crate::plan::{Identity, Plan, RelayAddress, MILLISECOND, RELAYS_IN_LINE, SECOND};
-use crate::purges::{Cursor, PurgeSet};
+use crate::purges::PurgeSet;
 use crate::wire::{self, Batch, Body, Busy, Grant, Heartbeat, SnapshotPart, SnapshotPlace};
 use crate::{mutant, Micros};
 use meadowrill_members::rings::hash;
@@ -49,17 +50,6 @@
     sent: Micros,
 }
 
-/// A snapshot under way.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Fetch {
-    began: Micros,
-    /// Everything up to here has come.
-    cursor: Option<Cursor>,
-    /// The least position of those who wrote the parts: the log goes on from there.
-    at: LogPosition,
-    purges: u64,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Subscriber {
     plan: Plan,
@@ -474,21 +464,25 @@
         if self.log.position().is_some_and(|at| writer.epoch < at.epoch) {
             return Err(Rejected::OldEpoch);
         }
-        let after = part.after.and_then(SnapshotPlace::cursor);
-        if self.fetch.is_none() && (after.is_some() || self.answered(part.request).is_err()) {
+        if self.fetch.as_ref().is_some_and(|fetch| writer.epoch < fetch.at.epoch) {
+            return Err(Rejected::OldEpoch);
+        }
+        let events = wire::unpack(&part.events)?;
+        if self.answered(part.request).is_err() && self.fetch.is_none() {
             return Err(Rejected::Unexpected);
         }
-        if self.fetch.is_none() || self.fetch.as_ref().is_some_and(|fetch| fetch.at.epoch != writer.epoch) {
+        if self.fetch.as_ref().is_none_or(|fetch| fetch.at.epoch != writer.epoch) {
             self.begin_fetch(now, writer, out);
         }
-        let _ = self.answered(part.request);
-        let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.cursor == after) else {
+        let Some(fetch) = self.fetch.as_mut() else { return Err(Rejected::Unexpected) };
+        let after = part.after.and_then(SnapshotPlace::cursor);
+        let next = part.next.and_then(SnapshotPlace::cursor);
+        let progress = fetch.take(after, Reach { next, is_paused: part.paused });
+        if progress == Progress::None {
             return Err(Rejected::Unexpected);
-        };
-        let events = wire::unpack(&part.events)?;
+        }
         fetch.at = fetch.at.min(writer);
         fetch.purges += events.len() as u64;
-        fetch.cursor = part.next.and_then(SnapshotPlace::cursor);
         if let Some(floor) = part.floor {
             self.log.purges.raise_floor(floor);
         }
@@ -497,18 +491,19 @@
                 out.push(Output::Apply(Event::Purge(purge)));
             }
         }
-        if part.next.is_none() {
-            self.finish_fetch(now, out);
-        } else {
-            self.refused_since = now;
-            self.next_heartbeat = if part.paused { now } else { now + self.plan.retry };
+        match progress {
+            Progress::Done => self.finish_fetch(now, out),
+            Progress::Paused => self.next_heartbeat = now,
+            Progress::Going => self.next_heartbeat = now + self.plan.retry,
+            Progress::Early | Progress::None => {}
         }
+        self.refused_since = now;
         Ok(())
     }
 
     fn begin_fetch(&mut self, now: Micros, at: LogPosition, out: &mut Vec<Output>) {
         let began = self.fetch.as_ref().map_or(now, |fetch| fetch.began);
-        self.fetch = Some(Fetch { began, cursor: None, at, purges: 0 });
+        self.fetch = Some(Fetch::new(began, at));
         self.counters.snapshots += 1;
         out.push(Output::Notice(Notice::SnapshotBegun { relay: self.relay_name() }));
     }
@@ -519,8 +514,9 @@
         fetch.at = self.log.position().map_or(fetch.at, |own| own.max(fetch.at));
         self.log.reset(fetch.at);
         self.early.clear();
+        // Parts that are still under way begin no new one.
+        self.requests.clear();
         self.next_heartbeat = now;
-        self.refused_since = now;
         let (purges, took, at) = (fetch.purges, now - fetch.began, fetch.at);
         out.push(Output::Notice(Notice::SnapshotDone { purges, took, at }));
     }
--- a/crates/events/src/wire.rs
+++ b/crates/events/src/wire.rs
@@ -249,7 +249,8 @@
         let text = !self.name.is_empty() && self.name.len() <= TEXT_MOST && self.address.len() <= TEXT_MOST;
         // All that a relay feeds are no farther than the relay.
         let acknowledged = self.acknowledged.map(LogPosition::from) <= self.at.map(LogPosition::from);
-        text && acknowledged && self.at.is_none_or(|at| at.is_within_bounds())
+        let cursor = self.cursor.is_none_or(|cursor| cursor.cursor().is_some());
+        text && acknowledged && cursor && self.at.is_none_or(|at| at.is_within_bounds())
     }
 }
 
@@ -264,7 +265,11 @@
 impl SnapshotPart {
     fn is_within_bounds(&self) -> bool {
         let floor = self.floor.is_none_or(|floor| is_stamp(to_milliseconds(floor)));
-        floor && self.at.is_none_or(|at| at.is_within_bounds())
+        let after = self.after.map(SnapshotPlace::cursor);
+        let next = self.next.map(SnapshotPlace::cursor);
+        let whole = after != Some(None) && next != Some(None);
+        let forward = next.is_none() || next > after;
+        floor && whole && forward && self.at.is_none_or(|at| at.is_within_bounds())
     }
 }
 
