Events: an epoch is drawn, and a publisher recovers only to where all that it holds was published

Change: the step to the next epoch is drawn up to 2^32; recovery goes on until the position is past all parts. Result: no_two_starts_draw_the_same_epoch and a_publisher_recovers_to_where_all_that_it_holds_was_published fail without, pass with it.

--- a/crates/events/src/fetch.rs
+++ b/crates/events/src/fetch.rs
@@ -39,6 +39,8 @@
     pub cursor: Option<Cursor>,
     /// The least position of those who wrote the parts: the log goes on from there.
     pub at: LogPosition,
+    /// The largest position of those: what came may hold events up to here.
+    pub reached: LogPosition,
     pub purges: u64,
     /// Parts that came before those that they go on from, by where they begin.
     early: BTreeMap<Cursor, Reach>,
@@ -46,7 +48,7 @@
 
 impl Fetch {
     pub fn new(began: Micros, at: LogPosition) -> Fetch {
-        Fetch { began, cursor: None, at, purges: 0, early: BTreeMap::new() }
+        Fetch { began, cursor: None, at, reached: at, purges: 0, early: BTreeMap::new() }
     }
 
     /// A part that begins behind `after`. Where this makes progress, what it holds is to be applied.
--- a/crates/events/src/publisher.rs
+++ b/crates/events/src/publisher.rs
@@ -19,6 +19,8 @@
 /// Out of touch with the service that tells it events, a publisher grants leases for so long.
 const BEHIND_MOST: Micros = 4 * SECOND;
 
+/// Between an epoch that was heard of and one that is drawn to follow it.
+const EPOCH_STEP_MOST: u64 = 1 << 32;
 /// Events that are followed until they are in force everywhere. Of more, the earliest are told no more.
 const UNFINISHED_MOST: usize = 200_000;
 
@@ -67,6 +69,7 @@
     done: LogPosition,
     /// Since when the service may have kept events back.
     behind: Option<Micros>,
+    seed: u64,
 }
 
 impl Publisher {
@@ -87,6 +90,7 @@
             distributor: Distributor::new(plan.clone(), relay, now),
             done: LogPosition::default(),
             behind: None,
+            seed,
             plan,
         };
         if publisher.recovery.is_none() {
@@ -97,12 +101,17 @@
 
     /// A new epoch, larger than any that was heard of.
     fn begin(&mut self, now: Micros, follows: Option<LogPosition>) {
-        let clock = (now.max(0) as u64).min(EPOCH_MOST.0);
-        let epoch = Epoch(clock.max(follows.map_or(0, |at| at.epoch.0 + 1)));
+        let clock = Epoch((now.max(0) as u64).min(EPOCH_MOST.0));
+        let epoch = follows.map_or(clock, |at| clock.max(self.epoch_behind(at.epoch)));
         self.log.begin(epoch, follows);
         self.done = LogPosition { epoch, position: 0 };
     }
 
+    /// A later one, drawn: where the clock has stepped back, an earlier start may have gone on from the same epoch.
+    fn epoch_behind(&self, heard: Epoch) -> Epoch {
+        Epoch(heard.0 + fastrand::Rng::with_seed(self.seed ^ heard.0).u64(1..=EPOCH_STEP_MOST))
+    }
+
     pub fn publish(&mut self, now: Micros, event: Event) {
         self.pending.push(Pending { event, told: now });
         if self.pending.len() < self.plan.purges_most {
@@ -158,7 +167,7 @@
             // Somebody has followed a later publisher than this one thought to be: its clock stepped back.
             Ok(Some(later)) if later >= EPOCH_MOST => self.distributor.counters.reject(Rejected::Future),
             Ok(Some(later)) if self.recovery.is_none() => {
-                let at = LogPosition { epoch: Epoch(later.0 + 1), position: 0 };
+                let at = LogPosition { epoch: self.epoch_behind(later), position: 0 };
                 // What is not in force yet is so once all have come to the new epoch, which takes a snapshot of it, and
                 // copies from before now are too old: `done` stays where it is.
                 self.log.begin(at.epoch, None);
@@ -173,7 +182,8 @@
     /// Goes over from recovery to publishing, once all is there or the time is over.
     fn recover(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(recovery) = &mut self.recovery else { return };
-        let found = recovery.position();
+        // Behind it, others may lack what is held here and is not published again.
+        let found = recovery.complete_position();
         if found.is_none() && now < self.recovery_until {
             return;
         }
--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -84,6 +84,8 @@
     asked_again: Option<Micros>,
     early: EarlyBatches,
     fetch: Option<Fetch>,
+    /// The last snapshot may hold events up to here, and more than all up to the own position.
+    snapshot_reached: Option<LogPosition>,
     home_at: Micros,
     seed: u64,
     draws: u64,
@@ -129,6 +131,7 @@
             asked_again: None,
             early: EarlyBatches::default(),
             fetch: None,
+            snapshot_reached: None,
             home_at: now,
             seed,
             draws: 0,
@@ -152,6 +155,11 @@
         self.log.position()
     }
 
+    /// The own position, once all purges that are held are of events before it.
+    pub(crate) fn complete_position(&self) -> Option<LogPosition> {
+        self.log.position().filter(|at| Some(*at) >= self.snapshot_reached)
+    }
+
     pub fn leased(&self, now: Micros) -> bool {
         self.lease_left(now).is_some()
     }
@@ -482,6 +490,7 @@
             return Err(Rejected::Unexpected);
         }
         fetch.at = fetch.at.min(writer);
+        fetch.reached = fetch.reached.max(writer);
         fetch.purges += events.len() as u64;
         if let Some(floor) = part.floor {
             self.log.purges.raise_floor(floor);
@@ -513,6 +522,7 @@
         // A relay that is behind this one may have written a part: what was applied before still counts.
         fetch.at = self.log.position().map_or(fetch.at, |own| own.max(fetch.at));
         self.log.reset(fetch.at);
+        self.snapshot_reached = Some(fetch.reached);
         self.early.clear();
         // Parts that are still under way begin no new one.
         self.requests.clear();
--- a/crates/events/tests/regressions.rs
+++ b/crates/events/tests/regressions.rs
@@ -351,6 +351,51 @@
     assert_eq!(front.status(START).counters.rejected[Rejected::Bounds as usize], 1);
 }
 
+/// The second part of the snapshot was written later than the first one: it may hold what others have not applied at the
+/// position of the first.
+#[test]
+fn a_publisher_recovers_to_where_all_that_it_holds_was_published() {
+    let mut publisher = Publisher::new(plan(2), RelayPlan::default(), identity("relay-0", 0), START, 1);
+    let mut out = Vec::new();
+    publisher.tick(START, &mut out);
+    let request = bodies(&out)
+        .into_iter()
+        .find_map(|body| match body {
+            Body::Heartbeat(heartbeat) => Some(heartbeat.request),
+            _ => None,
+        })
+        .expect("the first heartbeat");
+    let mut tell = |now, body| publisher.receive(now, &wire::write(FLEET, body), &mut Vec::new());
+    let between = Some(SnapshotPlace::of((START - SECOND, PurgeKey::Object(1))));
+    let events = packed(&[purge(1, START - SECOND)]);
+    let at = place(5, 10);
+    let first = SnapshotPart { at, next: between, events, request, ..SnapshotPart::default() };
+    let late = packed(&[purge(2, START)]);
+    let at = place(5, 11);
+    let last = SnapshotPart { at, after: between, events: late.clone(), request, ..SnapshotPart::default() };
+    tell(START, Body::SnapshotPart(first));
+    tell(START, Body::SnapshotPart(last));
+    assert_eq!(publisher.published().epoch, Epoch::default());
+    let mut tell = |now, body| publisher.receive(now, &wire::write(FLEET, body), &mut Vec::new());
+    tell(START, Body::Batch(Batch { epoch: 5, first: 10, head: 11, events: late, ..Batch::default() }));
+    assert!(publisher.published().epoch > Epoch(5));
+}
+
+/// Two starts that recover from the same epoch with a clock that is behind it: whoever followed the first must not take
+/// the second for it.
+#[test]
+fn no_two_starts_draw_the_same_epoch() {
+    let heard = LogPosition { epoch: Epoch(START as u64 + 77), position: 3 };
+    let epochs = [1, 2].map(|seed| {
+        let me = identity("relay-0", 0);
+        let mut publisher = Publisher::new(plan(1), RelayPlan::default(), me, START, seed);
+        receive(&mut publisher, START, heartbeat(1, Some(heard)));
+        publisher.published().epoch
+    });
+    assert!(epochs[0] > heard.epoch && epochs[1] > heard.epoch);
+    assert_ne!(epochs[0], epochs[1]);
+}
+
 /// What a relay still holds of a former epoch is sent, also to one that could go on without it.
 #[test]
 fn the_rest_of_a_former_epoch_is_sent_first() {
