--- a/crates/events/tests/simulation/mod.rs
+++ b/crates/events/tests/simulation/mod.rs
@@ -14,16 +14,19 @@
 use meadowrill_events::publisher::Publisher;
 use meadowrill_events::relay::Relay;
 use meadowrill_events::subscriber::Subscriber;
+use meadowrill_events::wire::{self, Body};
 use meadowrill_events::Micros;
 use node::{Member, Node};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 
 pub const FLEET: u64 = 7;
 /// The simulated clock begins here, as Unix time.
 pub const START: Micros = 1_700_000_000 * SECOND;
 pub const STEP: Micros = 5 * MILLISECOND;
+/// A datagram that comes once more does so within this.
+const REPLAY_MOST: Micros = 6 * SECOND;
 /// A datagram takes at least this.
 const DELAY_LEAST: Micros = 200;
 /// A publisher that starts needs so long to recover, at the most.
@@ -40,13 +43,14 @@
     pub subscribers: usize,
     pub seed: u64,
     pub purges_most: usize,
+    pub copy_age: Micros,
     pub relay_plan: RelayPlan,
 }
 
 impl Setting {
     pub fn new(relays: usize, subscribers: usize, seed: u64) -> Setting {
-        let purges_most = Plan::new(FLEET, Vec::new()).purges_most;
-        Setting { relays, subscribers, seed, purges_most, relay_plan: RelayPlan::default() }
+        let Plan { purges_most, copy_age, .. } = Plan::new(FLEET, Vec::new());
+        Setting { relays, subscribers, seed, purges_most, copy_age, relay_plan: RelayPlan::default() }
     }
 }
 
@@ -58,6 +62,10 @@
     pub relays: usize,
     /// Share of datagrams that are lost, in thousandths, and the longest delay.
     pub loss_per_mille: u64,
+    /// Share of datagrams that come once more, within [`REPLAY_MOST`].
+    pub replay_per_mille: u64,
+    /// Batches with events do not come to these.
+    pub without_events: BTreeSet<usize>,
     pub delay_most: Micros,
     /// Nodes that cannot reach each other: those of different groups.
     pub groups: BTreeMap<usize, usize>,
@@ -97,7 +105,7 @@
     }
 
     pub fn with(setting: Setting) -> Network {
-        let Setting { relays, subscribers, seed, purges_most, relay_plan } = setting;
+        let Setting { relays, subscribers, seed, purges_most, copy_age, relay_plan } = setting;
         let listed = (0..relays).map(|node| RelayAddress {
             name: format!("relay-{node}"),
             address: address(node),
@@ -105,7 +113,7 @@
             zone: format!("zone-{node}"),
             publishes: node == 0,
         });
-        let plan = Plan { purges_most, ..Plan::new(FLEET, listed.collect()) };
+        let plan = Plan { purges_most, copy_age, ..Plan::new(FLEET, listed.collect()) };
         plan.check().expect("a plan within its bounds");
         relay_plan.check().expect("a plan within its bounds");
         let mut network = Network {
@@ -115,6 +123,8 @@
             nodes: (0..relays + subscribers).map(|_| Node::default()).collect(),
             relays,
             loss_per_mille: 0,
+            replay_per_mille: 0,
+            without_events: BTreeSet::new(),
             delay_most: 20 * MILLISECOND,
             groups: BTreeMap::new(),
             history: History::default(),
@@ -223,7 +233,7 @@
         self.nodes[node].reads_most = reads_most;
     }
 
-    fn note_failure(&mut self, node: usize) {
+    pub fn note_failure(&mut self, node: usize) {
         if node < self.relays {
             self.relay_failed_at = self.now;
         } else {
@@ -313,14 +323,24 @@
 
     fn send(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
         let is_lost = self.rng.u64(0..1000) < self.loss_per_mille;
-        if to >= self.nodes.len() || is_lost || !self.reachable(from, to) {
+        if to >= self.nodes.len() || is_lost || !self.reachable(from, to) || self.withholds(to, &bytes) {
             return;
         }
+        if self.rng.u64(0..1000) < self.replay_per_mille {
+            let at = self.now + self.rng.i64(0..=REPLAY_MOST);
+            self.sent += 1;
+            self.under_way.push(Reverse((at, self.sent, to, bytes.clone())));
+        }
         let at = self.now + DELAY_LEAST + self.rng.i64(0..=self.delay_most);
         self.sent += 1;
         self.under_way.push(Reverse((at, self.sent, to, bytes)));
     }
 
+    fn withholds(&self, to: usize, bytes: &[u8]) -> bool {
+        let has_events = |body| matches!(body, Body::Batch(batch) if !batch.events.is_empty());
+        self.without_events.contains(&to) && wire::read(FLEET, bytes).is_ok_and(has_events)
+    }
+
     fn deliver(&mut self, to: usize, bytes: &[u8]) {
         let now = self.clock(to);
         let mut out = Vec::new();
@@ -428,6 +448,7 @@
 
     /// No front that holds a lease lacks a purge that is said to be in force; one without serves no copy that old.
     fn check_front(&mut self, node: usize) -> Result<(), String> {
+        self.check_position(node)?;
         let state = &self.nodes[node];
         if state.known.lacking.is_empty() || state.paused {
             return Ok(());
@@ -458,6 +479,17 @@
         Ok(())
     }
 
+    /// What a front has applied is never taken back.
+    fn check_position(&mut self, node: usize) -> Result<(), String> {
+        let state = &mut self.nodes[node];
+        let position = state.subscriber().and_then(Subscriber::position);
+        if position < state.position {
+            return Err(format!("front {node} went back from {:?} to {position:?}", state.position));
+        }
+        state.position = position;
+        Ok(())
+    }
+
     /// The first front that runs and holds no lease, or neither knows nor refuses what one of the first so many purges
     /// is about.
     pub fn first_behind(&mut self, purges: usize) -> Option<String> {
--- a/crates/events/tests/simulation/node.rs
+++ b/crates/events/tests/simulation/node.rs
@@ -1,6 +1,7 @@
 //! One member of the simulated network, and what comes to it.
 
 use super::checks::Known;
+use meadowrill_events::event::LogPosition;
 use meadowrill_events::output::{Notice, Output};
 use meadowrill_events::publisher::Publisher;
 use meadowrill_events::relay::Relay;
@@ -54,6 +55,8 @@
     pub reads_most: Option<usize>,
     /// Purges that it has applied since its start.
     pub known: Known,
+    /// The position that it had last.
+    pub position: Option<LogPosition>,
     pub notices: Vec<Notice>,
     pub waiting: VecDeque<Vec<u8>>,
 }
@@ -68,6 +71,7 @@
     /// What it knows and what waits for it is gone.
     pub fn clear(&mut self) {
         self.known = Known::default();
+        self.position = None;
         self.waiting.clear();
     }
 
--- a/crates/events/tests/simulation/schedule.rs
+++ b/crates/events/tests/simulation/schedule.rs
@@ -41,11 +41,13 @@
     /// The service tells nothing for a while after a start.
     LateService,
     SlowFronts,
+    /// Some go on with their heartbeats, and hear no events.
+    WithoutEvents,
     RestartFronts,
     Burst,
 }
 
-const ALL: [Fault; 15] = [
+const ALL: [Fault; 16] = [
     Fault::KillOne,
     Fault::PauseOne,
     Fault::CutOne,
@@ -59,6 +61,7 @@
     Fault::StepBackPublisher,
     Fault::LateService,
     Fault::SlowFronts,
+    Fault::WithoutEvents,
     Fault::RestartFronts,
     Fault::Burst,
 ];
@@ -83,12 +86,16 @@
     if seed % 5 == 2 {
         setting.relay_plan = RelayPlan { window_bytes: 10_000, ..RelayPlan::default() };
     }
+    if seed % 4 == 3 {
+        setting.copy_age = SECOND;
+    }
     let mut network = Network::with(setting);
     let drift = if seed.is_multiple_of(2) { DRIFT_PPM_MOST } else { 400 };
     for node in 0..network.nodes.len() {
         network.nodes[node].drift_ppm = network.rng.i64(-drift..=drift);
     }
     network.loss_per_mille = [0, 20, 50][(seed % 3) as usize];
+    network.replay_per_mille = 5;
     network.delay_most = [20, 60][(seed / 2 % 2) as usize] * MILLISECOND;
     network
 }
@@ -104,7 +111,7 @@
         let pause = network.rng.i64(0..=4_000) * MILLISECOND;
         catch_up(&mut network, pause, &mut measured).map_err(|why| format!("after {fault:?}: {why}"))?;
     }
-    network.loss_per_mille = 0;
+    (network.loss_per_mille, network.replay_per_mille) = (0, 0);
     catch_up(&mut network, CATCH_UP_MOST, &mut measured)?;
     let within = network.done_within(network.now);
     network.run(within)?;
@@ -165,6 +172,7 @@
             publish(network, PURGES_PER_SECOND, 7 * SECOND)
         }
         Fault::SlowFronts => slow(network),
+        Fault::WithoutEvents => without_events(network),
         Fault::RestartFronts => network.fronts().try_for_each(|front| {
             network.kill(front);
             network.start(front);
@@ -220,3 +228,17 @@
     network.fronts().for_each(|front| network.slow_down(front, None));
     Ok(())
 }
+
+fn without_events(network: &mut Network) -> Result<(), String> {
+    let span = drawn_span(network);
+    for node in 1..network.nodes.len() {
+        if network.rng.u8(0..4) == 0 {
+            network.note_failure(node);
+            network.without_events.insert(node);
+        }
+    }
+    publish(network, PURGES_PER_SECOND, span)?;
+    let affected = std::mem::take(&mut network.without_events);
+    affected.into_iter().for_each(|node| network.note_failure(node));
+    Ok(())
+}
