--- a/crates/events/src/lib.rs
+++ b/crates/events/src/lib.rs
@@ -7,7 +7,9 @@
 
 mod budget;
 pub mod distributor;
+mod early;
 pub mod event;
+mod fetch;
 pub mod leases;
 pub mod log;
 pub mod output;
