--- /dev/null
+++ b/crates/members/src/view/anti_entropy.rs
@@ -0,0 +1,49 @@
+//! Anti-entropy: two fronts compare digests of their views and exchange what differs.
+//!
+//! One sends the digest of its whole view. Where the other's differs it replies with its bucket digests, the first with
+//! an inventory of the buckets that differ, and the other with requests for what it lacks and the records of what it
+//! knows better. A front that knows much less than the other is sent random records instead.
+
+use super::peers::Recipient;
+use super::transfer::MAX_DATAGRAM_RECORDS;
+use super::{Act, Change, View};
+use crate::wire::{Buckets, Root, Said};
+
+/// Records sent to a front that knows few members; over a stream as many as it knows, which doubles them.
+const BOOTSTRAP_RECORDS: usize = MAX_DATAGRAM_RECORDS;
+
+impl View {
+    /// The digest of another front's whole view.
+    pub(super) fn receive_root_digest(&mut self, sender: Recipient, root: Root, out: &mut Vec<Act>) {
+        if root.digest == self.digest.root() {
+            return self.mark_joined(out);
+        }
+        let knows_few = root.count * 2 < self.here() as u64;
+        if !self.may_send_deferrable() {
+            return;
+        }
+        if knows_few {
+            self.bootstrap(sender, root.count as usize, out);
+        } else {
+            let digests = self.digest.short();
+            self.send(sender, Some(Said::Buckets(Buckets { digests })), out);
+        }
+    }
+
+    /// Sends records of random members to a front that knows few. It learns of others from those, so that a few contacts
+    /// need not send the whole view to all that join.
+    fn bootstrap(&mut self, to: Recipient, known: usize, out: &mut Vec<Act>) {
+        let count =
+            if self.can_stream(to.address) { BOOTSTRAP_RECORDS.max(known) } else { BOOTSTRAP_RECORDS };
+        let names = self.random_peers(count, to.name).into_iter().map(|peer| peer.name).collect();
+        self.send_records(to, names, out);
+    }
+
+    /// This front's view agrees with that of another.
+    pub(super) fn mark_joined(&mut self, out: &mut Vec<Act>) {
+        if !self.joined {
+            self.joined = true;
+            out.push(Act::Tell(Change::Joined));
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/dissemination.rs
@@ -0,0 +1,74 @@
+//! Rumor dissemination: which changes are spread with probes, and which are pushed to random members at once.
+
+use super::merge::Report;
+use super::{Act, Change, View, Why};
+use crate::claim::{Claim, State};
+use crate::Micros;
+
+/// The part of a period until an urgent change is pushed, as a divisor: changes in between share the datagrams.
+const PUSH_DELAY_DIVISOR: Micros = 20;
+/// How many random members an urgent change is pushed to.
+const PUSH_FANOUT: usize = 4;
+
+impl View {
+    /// Spreads and reports a new claim about a member; `former` is the one that it replaces.
+    pub(super) fn announce(&mut self, report: Report, former: Option<Claim>, out: &mut Vec<Act>) {
+        if self.is_spread(report, former) {
+            self.rumors.put(report.name, self.members.len());
+        }
+        if is_urgent(report, former) {
+            self.schedule_push();
+        }
+        let claim = report.claim;
+        if former.is_none_or(|former| former.state != claim.state || former.start != claim.start) {
+            out.push(Act::Tell(Change::Member {
+                name: report.name.into(),
+                from: former.map(|former| former.state),
+                to: claim.state,
+                start: claim.start,
+                incarnation: claim.incarnation,
+                why: report.why,
+                by: report.by.into(),
+            }));
+        }
+    }
+
+    /// What came by anti-entropy is spread by it as well, but for returns; and of a member without a published body
+    /// there is nothing to spread yet.
+    fn is_spread(&self, report: Report, former: Option<Claim>) -> bool {
+        let has_body = self.members.get(report.name).is_some_and(|m| !m.encoded_body.is_empty());
+        let is_bare = report.claim.state == State::Alive && !has_body;
+        (report.why != Why::Caught && !is_bare) || has_returned(former)
+    }
+
+    /// Pushes rumors soon.
+    pub(super) fn schedule_push(&mut self) {
+        let at = self.now + self.plan.period / PUSH_DELAY_DIVISOR;
+        self.push_at = Some(self.push_at.map_or(at, |scheduled| scheduled.min(at)));
+    }
+
+    /// Sends rumors to some random members, as far as the budget allows.
+    pub(super) fn push_rumors(&mut self, out: &mut Vec<Act>) {
+        self.push_at = None;
+        for peer in self.random_peers(PUSH_FANOUT, "") {
+            if !self.may_send_deferrable() {
+                return;
+            }
+            self.send(peer.recipient(), None, out);
+        }
+    }
+}
+
+/// What this front found out by itself; and appearances, disappearances and new processes, unless by anti-entropy.
+fn is_urgent(report: Report, former: Option<Claim>) -> bool {
+    let changes_membership = former.is_none_or(|former| {
+        former.state.here() != report.claim.state.here() || former.start != report.claim.start
+    });
+    let is_news = report.why != Why::Caught || has_returned(former);
+    report.why == Why::Seen || (is_news && changes_membership)
+}
+
+/// Whether the member was dead or had left before.
+fn has_returned(former: Option<Claim>) -> bool {
+    former.is_some_and(|former| !former.state.here())
+}
--- /dev/null
+++ b/crates/members/src/view/forgotten.rs
@@ -0,0 +1,53 @@
+//! Tombstones of forgotten members: the start of each, so that no old message brings that process back.
+
+use crate::Micros;
+use std::collections::BTreeMap;
+
+/// Tombstones kept at most, as a multiple of the members that there may be.
+const CAPACITY_FACTOR: usize = 2;
+
+#[derive(Clone, Debug)]
+struct Tombstone {
+    start: u64,
+    forgotten_at: Micros,
+}
+
+/// Forgotten members by name, in bounded number.
+#[derive(Clone, Debug)]
+pub(super) struct ForgottenMembers {
+    tombstones: BTreeMap<String, Tombstone>,
+    capacity: usize,
+}
+
+impl ForgottenMembers {
+    pub fn new(members_most: usize) -> ForgottenMembers {
+        ForgottenMembers { tombstones: BTreeMap::new(), capacity: CAPACITY_FACTOR * members_most }
+    }
+
+    /// The start of the process that was forgotten under this name.
+    pub fn start_of(&self, name: &str) -> Option<u64> {
+        self.tombstones.get(name).map(|tombstone| tombstone.start)
+    }
+
+    /// Whether this process, or a later one of its name, was forgotten.
+    pub fn covers(&self, name: &str, start: u64) -> bool {
+        self.start_of(name).is_some_and(|forgotten| start <= forgotten)
+    }
+
+    pub fn insert(&mut self, name: &str, start: u64, now: Micros) {
+        self.tombstones.insert(name.into(), Tombstone { start, forgotten_at: now });
+    }
+
+    pub fn remove(&mut self, name: &str) {
+        self.tombstones.remove(name);
+    }
+
+    /// Drops the oldest ones above the capacity.
+    pub fn drop_oldest(&mut self) {
+        while self.tombstones.len() > self.capacity {
+            let oldest = self.tombstones.iter().min_by_key(|(_, tombstone)| tombstone.forgotten_at);
+            let Some(name) = oldest.map(|(name, _)| name.clone()) else { return };
+            self.tombstones.remove(&name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/inventory.rs
@@ -0,0 +1,206 @@
+//! Inventories: lists of what a front knows in the buckets whose digests differ, without published bodies.
+
+use super::peers::Recipient;
+use super::transfer::{DATAGRAM_ROOM, STREAM_CHUNK, STREAM_THRESHOLD};
+use super::{Act, Member, View, Why};
+use crate::claim::{Claim, State};
+use crate::sync::bucket;
+use crate::wire::{Have, Record, Said, BUCKETS};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What an item and a bucket number take in a message besides their own encoding, at most.
+const ITEM_OVERHEAD: usize = 3;
+const BUCKET_OVERHEAD: usize = 8;
+/// Items in each datagram of a bucket that is too large for one.
+const ITEMS_PER_DATAGRAM: usize = 10;
+
+/// The items of one bucket.
+struct BucketItems {
+    bucket: usize,
+    items: Vec<Record>,
+}
+
+impl BucketItems {
+    fn encoded_length(&self) -> usize {
+        self.items.iter().map(|item| prost::Message::encoded_len(item) + ITEM_OVERHEAD).sum()
+    }
+
+    fn append_to(self, inventory: &mut Have) {
+        inventory.buckets.push(self.bucket as u32);
+        inventory.items.extend(self.items);
+    }
+}
+
+/// The outcome of a comparison with another front's inventory.
+#[derive(Default)]
+struct Difference {
+    /// Names of members of which the other front has a newer record.
+    wanted: Vec<String>,
+    /// Names of members of which this front has a newer record.
+    newer: Vec<String>,
+}
+
+impl View {
+    /// Another front's bucket digests: replies with an inventory of the buckets that differ.
+    pub(super) fn receive_bucket_digests(&mut self, sender: Recipient, digests: &[u32], out: &mut Vec<Act>) {
+        let differing = self.differing_buckets(digests);
+        if differing.is_empty() {
+            return self.mark_joined(out);
+        }
+        let buckets = self.bucket_items(&differing);
+        let length: usize = buckets.iter().map(BucketItems::encoded_length).sum();
+        if length > STREAM_THRESHOLD && self.can_stream(sender.address) {
+            self.stream_inventory(sender, buckets, out);
+        } else {
+            self.send_inventory(sender, buckets, out);
+        }
+    }
+
+    /// The buckets that differ, from a random one on: where not all fit, another comparison begins with others.
+    fn differing_buckets(&mut self, theirs: &[u32]) -> Vec<usize> {
+        let ours = self.digest.short();
+        let first = self.rng.usize(0..BUCKETS);
+        (0..BUCKETS)
+            .map(|offset| (first + offset) % BUCKETS)
+            .filter(|bucket| theirs.get(*bucket) != ours.get(*bucket))
+            .collect()
+    }
+
+    /// What this front knows in these buckets, in their order.
+    fn bucket_items(&self, buckets: &[usize]) -> Vec<BucketItems> {
+        let mut items: BTreeMap<usize, Vec<Record>> =
+            buckets.iter().map(|bucket| (*bucket, Vec::new())).collect();
+        if let Some(list) = items.get_mut(&bucket(&self.own.name)) {
+            list.push(self.own.record());
+        }
+        for (name, member) in &self.members {
+            if let Some(list) = items.get_mut(&bucket(name)) {
+                list.push(member.record(name, &self.own.name));
+            }
+        }
+        let take =
+            |bucket: &usize| BucketItems { bucket: *bucket, items: items.remove(bucket).unwrap_or_default() };
+        buckets.iter().map(take).collect()
+    }
+
+    /// Sends whole buckets up to one chunk of a stream. The next comparison finds the rest.
+    fn stream_inventory(&mut self, to: Recipient, buckets: Vec<BucketItems>, out: &mut Vec<Act>) {
+        let mut inventory = Have::default();
+        let mut length = 0;
+        for bucket in buckets {
+            length += bucket.encoded_length();
+            if length > STREAM_CHUNK && !inventory.buckets.is_empty() {
+                break;
+            }
+            bucket.append_to(&mut inventory);
+        }
+        if self.may_send_deferrable() {
+            self.send_chunk(to.address, Said::Have(inventory), out);
+        }
+    }
+
+    /// Sends as many buckets in each datagram as fit, as far as the budget allows.
+    fn send_inventory(&mut self, to: Recipient, buckets: Vec<BucketItems>, out: &mut Vec<Act>) {
+        let mut inventory = Have::default();
+        for bucket in buckets {
+            let length = bucket.encoded_length();
+            let total = prost::Message::encoded_len(&inventory) + length + BUCKET_OVERHEAD;
+            if total > DATAGRAM_ROOM && !inventory.items.is_empty() {
+                if !self.may_send_deferrable() {
+                    return;
+                }
+                self.send(to, Some(Said::Have(std::mem::take(&mut inventory))), out);
+            }
+            if length <= DATAGRAM_ROOM {
+                bucket.append_to(&mut inventory);
+            } else if !self.send_bucket_in_parts(to, &bucket, out) {
+                return;
+            }
+        }
+        if !inventory.buckets.is_empty() {
+            self.send(to, Some(Said::Have(inventory)), out);
+        }
+    }
+
+    /// Sends a bucket that is too large for one datagram; none of its parts claims to be complete. False where the
+    /// budget did not allow all of them.
+    fn send_bucket_in_parts(&mut self, to: Recipient, bucket: &BucketItems, out: &mut Vec<Act>) -> bool {
+        for items in bucket.items.chunks(ITEMS_PER_DATAGRAM) {
+            if !self.may_send_deferrable() {
+                return false;
+            }
+            let part = Have { buckets: Vec::new(), items: items.to_vec() };
+            self.send(to, Some(Said::Have(part)), out);
+        }
+        true
+    }
+
+    /// Another front's inventory: takes in its claims, requests records that are newer there, and sends those that are
+    /// newer here.
+    pub(super) fn receive_inventory(&mut self, sender: Recipient, inventory: Have, out: &mut Vec<Act>) {
+        let listed: BTreeSet<String> = inventory.items.iter().map(|item| item.name.clone()).collect();
+        let mut difference = Difference::default();
+        for item in inventory.items {
+            let Some(claim) = item.claim() else { continue };
+            if item.name == self.own.name {
+                self.compare_own_item(item, claim, &mut difference, out);
+            } else {
+                self.compare_item(item, claim, &mut difference, out);
+            }
+        }
+        let complete: BTreeSet<usize> = inventory.buckets.iter().map(|bucket| *bucket as usize).collect();
+        difference.newer.extend(self.missing_names(&complete, &listed));
+        if self.request_records(sender, difference.wanted, out) {
+            self.send_records(sender, difference.newer, out);
+        }
+    }
+
+    fn compare_own_item(
+        &mut self,
+        item: Record,
+        claim: Claim,
+        difference: &mut Difference,
+        out: &mut Vec<Act>,
+    ) {
+        let own = (self.own.claim.start, self.own.claim.incarnation, self.own.revision);
+        let is_outdated = own > (claim.start, claim.incarnation, item.rev);
+        let name = item.name.clone();
+        self.receive_record(item, Why::Caught, out);
+        if is_outdated || claim.state != State::Alive {
+            difference.newer.push(name);
+        }
+    }
+
+    fn compare_item(&mut self, item: Record, claim: Claim, difference: &mut Difference, out: &mut Vec<Act>) {
+        let Some(member) = self.members.get(&item.name) else {
+            if !self.forgotten.covers(&item.name, item.start) {
+                difference.wanted.push(item.name);
+            }
+            return;
+        };
+        if claim == member.claim && item.rev == member.rev {
+            return;
+        }
+        let known = member.claim;
+        let same_process = claim.start == known.start;
+        let body_is_newer = claim.start > known.start || (same_process && item.rev > member.rev);
+        let is_outdated = known > claim || (same_process && member.rev > item.rev);
+        let name = item.name.clone();
+        if body_is_newer {
+            difference.wanted.push(name.clone());
+        } else if claim > known {
+            self.receive_record(item, Why::Caught, out);
+        }
+        if is_outdated {
+            difference.newer.push(name);
+        }
+    }
+
+    /// Members, this front among them, that the other does not know: those that its complete buckets do not list.
+    fn missing_names(&self, complete: &BTreeSet<usize>, listed: &BTreeSet<String>) -> Vec<String> {
+        let is_missing = |name: &String| complete.contains(&bucket(name)) && !listed.contains(name);
+        let present = |(_, member): &(&String, &Member)| member.claim.state.here();
+        let members = self.members.iter().filter(present).map(|(name, _)| name);
+        members.chain([&self.own.name]).filter(|name| is_missing(name)).cloned().collect()
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/maintenance.rs
@@ -0,0 +1,129 @@
+//! Periodic work besides probes: suspicions, anti-entropy, forgetting, and the search for members that may be back.
+
+use super::budget::ESSENTIAL_SHARE;
+use super::peers::{Peer, Recipient};
+use super::{Act, Change, View};
+use crate::claim::State;
+use crate::wire::{Ping, Root, Said};
+use crate::{mutant, Micros};
+use std::net::SocketAddr;
+
+/// Suspicions are checked so many times a period; most of the rest is done once a period.
+const CHECKS_PER_PERIOD: u8 = 4;
+/// For so many periods after a change of the membership an exchange is begun at each check.
+const UNSETTLED_PERIODS: Micros = 3;
+/// Pings with this sequence number belong to no probe.
+const NO_PROBE: u64 = 0;
+
+/// When maintenance runs, and which check of the period comes next.
+#[derive(Clone, Debug)]
+pub(super) struct MaintenanceTimer {
+    pub next_at: Micros,
+    check: u8,
+}
+
+impl MaintenanceTimer {
+    pub fn new(now: Micros) -> MaintenanceTimer {
+        MaintenanceTimer { next_at: now, check: 0 }
+    }
+
+    /// Whether the work of a whole period is due at this check.
+    fn advance(&mut self) -> bool {
+        self.check = (self.check + 1) % CHECKS_PER_PERIOD;
+        self.check == 0
+    }
+}
+
+impl View {
+    pub(super) fn run_maintenance(&mut self, out: &mut Vec<Act>) {
+        self.maintenance.next_at = self.now + self.plan.period / Micros::from(CHECKS_PER_PERIOD);
+        self.decide_suspicions(out);
+        let whole_period = self.maintenance.advance();
+        self.budget.refill(self.now);
+        if whole_period || self.wants_extra_exchange() {
+            self.begin_exchange(out);
+        }
+        if whole_period {
+            self.forget_members(out);
+            self.retry_failed_streams();
+            self.ping_dead_member(out);
+            self.ping_unknown_contacts(out);
+        }
+    }
+
+    /// More exchanges while this front joins or the membership changes. One that there is no budget to go on with would
+    /// be wasted, and take more of it from the next.
+    fn wants_extra_exchange(&self) -> bool {
+        let is_unsettled = self.now - self.membership_changed_at < UNSETTLED_PERIODS * self.plan.period;
+        (!self.joined || is_unsettled) && self.budget.has_share(ESSENTIAL_SHARE)
+    }
+
+    /// Sends the digest of the view to a random member; the two exchange more where theirs differ.
+    fn begin_exchange(&mut self, out: &mut Vec<Act>) {
+        for peer in self.random_peers(1, "") {
+            let root = Root { digest: self.digest.root(), count: self.here() as u64 };
+            self.send(peer.recipient(), Some(Said::Root(root)), out);
+        }
+    }
+
+    /// Removes members that have been dead or gone for long.
+    fn forget_members(&mut self, out: &mut Vec<Act>) {
+        if mutant("tombstones-for-ever") {
+            return;
+        }
+        let before = self.now - self.plan.remember;
+        let expired: Vec<String> = self
+            .members
+            .iter()
+            .filter(|(_, member)| !member.claim.state.here() && member.since < before)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in expired {
+            self.forget_member(name, out);
+        }
+        self.forgotten.drop_oldest();
+    }
+
+    fn forget_member(&mut self, name: String, out: &mut Vec<Act>) {
+        if let Some(member) = self.members.remove(&name).filter(|_| !mutant("forgets-whole")) {
+            self.forgotten.insert(&name, member.claim.start, self.now);
+        }
+        self.rumors.forget(&name);
+        out.push(Act::Tell(Change::Forgotten { name }));
+    }
+
+    fn retry_failed_streams(&mut self) {
+        let now = self.now;
+        self.failed_streams.retain(|_, until| now < *until);
+    }
+
+    /// Pings a random dead member: so a partition that has healed is noticed.
+    fn ping_dead_member(&mut self, out: &mut Vec<Act>) {
+        let dead = |(name, member): (&String, &super::Member)| {
+            let is_dead = member.claim.state == State::Dead;
+            member.address().filter(|_| is_dead).map(|address| Peer { name: name.clone(), address })
+        };
+        let dead: Vec<Peer> = self.members.iter().filter_map(dead).collect();
+        if dead.is_empty() {
+            return;
+        }
+        let peer = &dead[self.rng.usize(0..dead.len())];
+        let ping = Ping { seq: NO_PROBE, to: peer.name.clone() };
+        self.send(peer.recipient(), Some(Said::Ping(ping)), out);
+    }
+
+    /// Pings the configured contacts at whose addresses no present member is known.
+    fn ping_unknown_contacts(&mut self, out: &mut Vec<Act>) {
+        let is_unknown = |address: &SocketAddr| {
+            let text = address.to_string();
+            !self.members.values().any(|m| m.claim.state.here() && m.body.address == text)
+        };
+        let contacts = self.plan.contacts.iter().copied();
+        let unknown: Vec<SocketAddr> =
+            contacts.filter(|to| *to != self.plan.advertise && is_unknown(to)).collect();
+        for address in unknown {
+            let ping = Ping { seq: NO_PROBE, to: String::new() };
+            self.send(Recipient { name: "", address }, Some(Said::Ping(ping)), out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/member.rs
@@ -0,0 +1,108 @@
+//! What this front knows of one other member.
+
+use crate::claim::{Claim, State};
+use crate::wire::{Body, Record};
+use crate::Micros;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// An open suspicion of a member.
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    /// When it began.
+    pub since: Micros,
+    /// Names of the observers whose probes failed.
+    pub by: BTreeSet<String>,
+}
+
+impl Suspicion {
+    pub(super) fn new(now: Micros) -> Suspicion {
+        Suspicion { since: now, by: BTreeSet::new() }
+    }
+}
+
+/// Another member, as this front knows it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub claim: Claim,
+    /// When it took its state, by this view.
+    pub since: Micros,
+    /// Revision of `body`, counted from 1 by the member; 0 while only its name and address are known.
+    pub rev: u64,
+    /// What the member publishes of itself.
+    pub body: Body,
+    /// `body` as the member encoded it, with fields that this build does not know.
+    pub(super) encoded_body: Vec<u8>,
+    pub suspicion: Option<Suspicion>,
+    /// Who claimed that it is dead.
+    pub by: String,
+    /// When this front last had an answer to a probe of it.
+    pub(super) acknowledged_at: Option<Micros>,
+    /// When this front last received anything from it.
+    pub(super) received_at: Option<Micros>,
+    /// Smoothed round trip time of direct probes, in microseconds.
+    pub round_trip: Option<f64>,
+}
+
+/// A body that a member published, with its revision and encoding.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PublishedBody {
+    pub revision: u64,
+    pub body: Body,
+    pub encoded: Vec<u8>,
+}
+
+impl Member {
+    pub(super) fn new(claim: Claim, published: PublishedBody, by: &str, now: Micros) -> Member {
+        Member {
+            claim,
+            since: now,
+            rev: published.revision,
+            body: published.body,
+            encoded_body: published.encoded,
+            suspicion: (claim.state == State::Suspected).then(|| Suspicion::new(now)),
+            by: by.to_string(),
+            acknowledged_at: None,
+            received_at: None,
+            round_trip: None,
+        }
+    }
+
+    /// Where it receives datagrams, if it published a valid address.
+    pub fn address(&self) -> Option<SocketAddr> {
+        self.body.address.parse().ok()
+    }
+
+    pub(super) fn is_alive(&self) -> bool {
+        self.claim.state == State::Alive
+    }
+
+    /// The record of this member for another front, without its body.
+    pub(super) fn record(&self, name: &str, preferred_accuser: &str) -> Record {
+        Record {
+            name: name.into(),
+            start: self.claim.start,
+            incarnation: self.claim.incarnation,
+            state: self.claim.state as u32,
+            by: self.accuser(preferred_accuser),
+            rev: self.rev,
+            body: Vec::new(),
+        }
+    }
+
+    /// The same with the body of a member that is present.
+    pub(super) fn record_with_body(&self, name: &str, preferred_accuser: &str) -> Record {
+        let body = if self.claim.state.here() { self.encoded_body.clone() } else { Vec::new() };
+        Record { body, ..self.record(name, preferred_accuser) }
+    }
+
+    /// Who is named for a suspicion or a death: of several accusers the preferred one, if it is among them.
+    fn accuser(&self, preferred: &str) -> String {
+        match (&self.suspicion, self.claim.state) {
+            (Some(suspicion), State::Suspected) if suspicion.by.contains(preferred) => preferred.to_string(),
+            (Some(suspicion), State::Suspected) => suspicion.by.first().cloned().unwrap_or_default(),
+            (_, State::Dead) => self.by.clone(),
+            _ => String::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/own.rs
@@ -0,0 +1,104 @@
+//! This front as a member of the fleet: its claim and the body that it publishes.
+
+use super::{Me, View};
+use crate::claim::{Claim, State};
+use crate::plan::Plan;
+use crate::wire::{Body, Record, Value, VALUES_MOST};
+
+/// This front's own entry.
+#[derive(Clone, Debug)]
+pub(super) struct OwnMember {
+    pub name: String,
+    /// Tells processes of one name apart.
+    pub nonce: u64,
+    pub claim: Claim,
+    /// Revision of `body`.
+    pub revision: u64,
+    pub body: Body,
+    pub encoded_body: Vec<u8>,
+}
+
+impl OwnMember {
+    pub fn new(me: Me, plan: &Plan, nonce: u64) -> OwnMember {
+        let body = Body {
+            address: plan.advertise.to_string(),
+            zone: plan.zone.clone(),
+            weight: plan.weight,
+            version: me.version,
+            nonce,
+            values: Vec::new(),
+        };
+        OwnMember {
+            name: me.name,
+            nonce,
+            claim: Claim::alive(me.start.max(1)),
+            revision: 0,
+            body,
+            encoded_body: Vec::new(),
+        }
+    }
+
+    /// False, and nothing is changed, where all values together would be too large.
+    pub fn put_value(&mut self, value: Value) -> bool {
+        let mut values = self.body.values.clone();
+        values.retain(|other| other.kind != value.kind);
+        values.push(value);
+        values.sort_by_key(|value| value.kind);
+        let size: usize = values.iter().map(|value| value.bytes.len()).sum();
+        if size > VALUES_MOST {
+            return false;
+        }
+        self.body.values = values;
+        true
+    }
+
+    /// The record of this front without its body.
+    pub fn record(&self) -> Record {
+        Record {
+            name: self.name.clone(),
+            start: self.claim.start,
+            incarnation: self.claim.incarnation,
+            state: self.claim.state as u32,
+            by: String::new(),
+            rev: self.revision,
+            body: Vec::new(),
+        }
+    }
+
+    pub fn record_with_body(&self) -> Record {
+        Record { body: self.encoded_body.clone(), ..self.record() }
+    }
+}
+
+impl View {
+    /// Publishes this front's body under a new revision.
+    pub(super) fn publish_own_body(&mut self) {
+        // A front that leaves is no longer in the digest.
+        let in_digest = self.own.claim.state == State::Alive;
+        if in_digest {
+            self.toggle_own_digest();
+        }
+        self.own.revision += 1;
+        if in_digest {
+            self.toggle_own_digest();
+        }
+        self.own.encoded_body = prost::Message::encode_to_vec(&self.own.body);
+        self.spread_own_record();
+    }
+
+    /// Publishes a new claim of this front about itself.
+    pub(super) fn publish_own_claim(&mut self, claim: Claim) {
+        self.toggle_own_digest();
+        if claim.start != self.own.claim.start {
+            self.own.revision = self.own.revision.max(1);
+        }
+        self.own.claim = claim;
+        self.toggle_own_digest();
+        self.spread_own_record();
+    }
+
+    fn spread_own_record(&mut self) {
+        self.rumors.put(&self.own.name, self.members.len());
+        self.schedule_push();
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/probing.rs
@@ -0,0 +1,149 @@
+//! Probes of other members: a ping, after a while ping requests to some helpers, and at last a failure.
+
+use super::budget::ESSENTIAL_SHARE;
+use super::peers::Recipient;
+use super::{Act, View};
+use crate::wire::{Ask, Ping, Said};
+use crate::Micros;
+
+/// The part of a period that a direct probe may take, as a divisor.
+pub(super) const DIRECT_TIMEOUT_DIVISOR: Micros = 3;
+/// How many helpers are asked for an indirect probe.
+const INDIRECT_HELPERS: usize = 3;
+/// Weight of a new sample in the smoothed round trip time.
+const ROUND_TRIP_SMOOTHING: f64 = 0.2;
+
+/// A probe that is not answered yet.
+#[derive(Clone, Debug)]
+pub(super) struct Probe {
+    target: String,
+    sent_at: Micros,
+    /// When helpers are asked to probe the target as well.
+    indirect_at: Micros,
+    /// When the probe has failed.
+    deadline: Micros,
+    indirect_requested: bool,
+    /// A helper reported that it got no answer either: this front itself is not cut off.
+    helper_responded: bool,
+}
+
+impl Probe {
+    /// When the next step of this probe is due.
+    pub fn next_deadline(&self) -> Micros {
+        if self.indirect_requested {
+            self.deadline
+        } else {
+            self.indirect_at
+        }
+    }
+}
+
+impl View {
+    /// Pings a member, unless a probe of it is open.
+    pub(super) fn probe(&mut self, name: &str, out: &mut Vec<Act>) {
+        let Some(address) = self.address_of(name) else { return };
+        if self.probes.values().any(|probe| probe.target == name) {
+            return;
+        }
+        let (period, multiplier) = (self.plan.period, self.health.stretch());
+        let probe = Probe {
+            target: name.into(),
+            sent_at: self.now,
+            indirect_at: self.now + period / DIRECT_TIMEOUT_DIVISOR * multiplier,
+            deadline: self.now + period * multiplier,
+            indirect_requested: false,
+            helper_responded: false,
+        };
+        self.counts.probes += 1;
+        let sequence = self.next_sequence();
+        self.probes.insert(sequence, probe);
+        let ping = Ping { seq: sequence, to: name.into() };
+        self.send(Recipient { name, address }, Some(Said::Ping(ping)), out);
+    }
+
+    /// Takes the next step of each probe, its own and relayed ones, whose time is up.
+    pub(super) fn process_probe_deadlines(&mut self, out: &mut Vec<Act>) {
+        self.request_due_indirect_probes(out);
+        self.fail_expired_probes(out);
+        self.send_due_nacks(out);
+        self.drop_expired_relayed_probes();
+    }
+
+    fn request_due_indirect_probes(&mut self, out: &mut Vec<Act>) {
+        let is_due = |probe: &Probe| !probe.indirect_requested && self.now >= probe.indirect_at;
+        let due: Vec<u64> =
+            self.probes.iter().filter(|(_, probe)| is_due(probe)).map(|(sequence, _)| *sequence).collect();
+        for sequence in due {
+            self.request_indirect_probe(sequence, out);
+        }
+    }
+
+    fn request_indirect_probe(&mut self, sequence: u64, out: &mut Vec<Act>) {
+        let Some(probe) = self.probes.get_mut(&sequence) else { return };
+        probe.indirect_requested = true;
+        let target = probe.target.clone();
+        let Some(address) = self.address_of(&target) else { return };
+        // While many fail at once the bytes are needed to spread that. One helper is enough to show that this front is
+        // not the one cut off.
+        self.budget.refill(self.now);
+        let helpers = if self.budget.has_share(ESSENTIAL_SHARE) { INDIRECT_HELPERS } else { 1 };
+        for helper in self.random_peers(helpers, &target) {
+            let request = Ask { seq: sequence, target: target.clone(), address: address.to_string() };
+            self.send(helper.recipient(), Some(Said::Ask(request)), out);
+        }
+    }
+
+    fn fail_expired_probes(&mut self, out: &mut Vec<Act>) {
+        let is_expired = |probe: &Probe| self.now >= probe.deadline;
+        let expired: Vec<u64> = self
+            .probes
+            .iter()
+            .filter(|(_, probe)| is_expired(probe))
+            .map(|(sequence, _)| *sequence)
+            .collect();
+        for sequence in expired {
+            if let Some(probe) = self.probes.remove(&sequence) {
+                self.fail_probe(probe, out);
+            }
+        }
+    }
+
+    /// No answer came, neither directly nor through a helper.
+    fn fail_probe(&mut self, probe: Probe, out: &mut Vec<Act>) {
+        self.counts.failures += 1;
+        let has_other_members = self.members.values().filter(|m| m.claim.state.here()).count() > 1;
+        if !probe.helper_responded && has_other_members {
+            self.health.worse();
+        }
+        self.suspect_unanswering(&probe.target, out);
+    }
+
+    /// An answer to a probe of this front, or to one relayed for another.
+    pub(super) fn receive_ack(&mut self, from: &str, sequence: u64, out: &mut Vec<Act>) {
+        if self.complete_relayed_probe(sequence, out) {
+            return;
+        }
+        let Some(probe) = self.probes.remove(&sequence) else { return };
+        self.health.better();
+        let Some(member) = self.members.get_mut(&probe.target) else { return };
+        member.acknowledged_at = Some(self.now);
+        if probe.target == from {
+            let sample = (self.now - probe.sent_at) as f64;
+            let smooth = |former: f64| former + ROUND_TRIP_SMOOTHING * (sample - former);
+            member.round_trip = Some(member.round_trip.map_or(sample, smooth));
+        }
+        // This front withdraws its accusation. Other accusers learn from the member's refutation; it has heard of the
+        // suspicion by now.
+        if let Some(suspicion) = &mut member.suspicion {
+            suspicion.by.remove(&self.own.name);
+        }
+    }
+
+    /// A helper got no answer in time: the target may be dead, but this front reaches others.
+    pub(super) fn receive_nack(&mut self, sequence: u64) {
+        if let Some(probe) = self.probes.get_mut(&sequence) {
+            probe.helper_responded = true;
+            self.health.better();
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/relaying.rs
@@ -0,0 +1,78 @@
+//! Indirect probes that other fronts request: this front pings the target and relays the answer.
+
+use super::peers::{Peer, Recipient};
+use super::probing::DIRECT_TIMEOUT_DIVISOR;
+use super::{Act, View};
+use crate::wire::{Ask, Ping, Said, Seq};
+use crate::Micros;
+
+/// A probe sent at the request of another front.
+#[derive(Clone, Debug)]
+pub(super) struct RelayedProbe {
+    requester: Peer,
+    /// The sequence number of the request, which the answer to it carries.
+    requested_sequence: u64,
+    /// When the requester is told that there is no answer yet; none once it was.
+    nack_at: Option<Micros>,
+    expires_at: Micros,
+}
+
+impl RelayedProbe {
+    /// When the next step of this probe is due.
+    pub fn next_deadline(&self) -> Micros {
+        self.nack_at.unwrap_or(self.expires_at)
+    }
+}
+
+impl View {
+    /// Pings the target of the request, where its address is valid. Whether it was.
+    pub(super) fn receive_ping_request(
+        &mut self,
+        requester: Recipient,
+        request: Ask,
+        out: &mut Vec<Act>,
+    ) -> bool {
+        let Ok(address) = request.address.parse() else { return false };
+        let sequence = self.next_sequence();
+        if self.relayed_probes.len() >= self.plan.members_most {
+            return true;
+        }
+        let relayed = RelayedProbe {
+            requester: Peer { name: requester.name.into(), address: requester.address },
+            requested_sequence: request.seq,
+            nack_at: Some(self.now + self.plan.period / DIRECT_TIMEOUT_DIVISOR),
+            expires_at: self.now + self.plan.period,
+        };
+        self.relayed_probes.insert(sequence, relayed);
+        let ping = Ping { seq: sequence, to: request.target.clone() };
+        self.send(Recipient { name: &request.target, address }, Some(Said::Ping(ping)), out);
+        true
+    }
+
+    /// Relays the answer to a relayed probe. False if that sequence number is of none.
+    pub(super) fn complete_relayed_probe(&mut self, sequence: u64, out: &mut Vec<Act>) -> bool {
+        let Some(relayed) = self.relayed_probes.remove(&sequence) else { return false };
+        let ack = Seq { seq: relayed.requested_sequence };
+        self.send(relayed.requester.recipient(), Some(Said::Ack(ack)), out);
+        true
+    }
+
+    /// Tells requesters whose targets have not answered in time.
+    pub(super) fn send_due_nacks(&mut self, out: &mut Vec<Act>) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for relayed in self.relayed_probes.values_mut() {
+            if relayed.nack_at.take_if(|at| now >= *at).is_some() {
+                due.push((relayed.requester.clone(), relayed.requested_sequence));
+            }
+        }
+        for (requester, seq) in due {
+            self.send(requester.recipient(), Some(Said::Nack(Seq { seq })), out);
+        }
+    }
+
+    pub(super) fn drop_expired_relayed_probes(&mut self) {
+        let now = self.now;
+        self.relayed_probes.retain(|_, relayed| now < relayed.expires_at);
+    }
+}
--- /dev/null
+++ b/crates/members/src/view/schedule.rs
@@ -0,0 +1,74 @@
+//! The probe schedule: which of the observed members are probed when, spread evenly over each round of one period.
+
+use super::{Act, View};
+use crate::Micros;
+use std::collections::{BTreeSet, VecDeque};
+
+/// The probes of one round.
+#[derive(Clone, Debug)]
+pub(super) struct ProbeSchedule {
+    /// Members still to be probed in this round.
+    pending: VecDeque<String>,
+    /// All members of this round, probed or pending.
+    scheduled: BTreeSet<String>,
+    round_started_at: Micros,
+    /// When the next probe is due.
+    pub next_at: Micros,
+}
+
+impl ProbeSchedule {
+    pub fn new(now: Micros, next_at: Micros) -> ProbeSchedule {
+        ProbeSchedule { pending: VecDeque::new(), scheduled: BTreeSet::new(), round_started_at: now, next_at }
+    }
+
+    fn begin_round(&mut self, now: Micros) {
+        self.round_started_at = now;
+        self.scheduled.clear();
+    }
+
+    /// Adds those that are not in this round yet.
+    fn add(&mut self, names: Vec<String>) {
+        for name in names {
+            if self.scheduled.insert(name.clone()) {
+                self.pending.push_back(name);
+            }
+        }
+    }
+
+    /// The member to probe now; the remaining ones share what is left of the period.
+    fn take_next(&mut self, now: Micros, period: Micros) -> Option<String> {
+        let remaining = (self.round_started_at + period - now).max(1);
+        self.next_at = now + remaining / self.pending.len().max(1) as Micros;
+        self.pending.pop_front()
+    }
+
+    /// Makes the next pending probe due at once.
+    pub fn expedite(&mut self, now: Micros) {
+        if !self.pending.is_empty() {
+            self.next_at = self.next_at.min(now);
+        }
+    }
+}
+
+impl View {
+    /// Probes the next member of the round, and begins another round after the last.
+    pub(super) fn probe_next_scheduled(&mut self, out: &mut Vec<Act>) {
+        if self.schedule.pending.is_empty() {
+            self.schedule.begin_round(self.now);
+            self.schedule_observed_members();
+        }
+        if let Some(name) = self.schedule.take_next(self.now, self.plan.period) {
+            self.probe(&name, out);
+        }
+    }
+
+    /// Adds to the round whom this front observes by now. One that has not joined knows only a few contacts and would
+    /// overload them together with all others that join: it observes nobody yet.
+    pub(super) fn schedule_observed_members(&mut self) {
+        if self.joined {
+            let observed = self.rings.observed_by(&self.own.name, |name| self.is_unhealthy(name));
+            let observed = observed.into_iter().map(str::to_string).collect();
+            self.schedule.add(observed);
+        }
+    }
+}
