--- a/crates/members/src/claim.rs
+++ b/crates/members/src/claim.rs
@@ -1,7 +1,7 @@
-//! What can be said of a member, and which of two sayings stands. All fronts that hear the same claims, in whatever
-//! order and however often, end with the same one; this is the part that the model checker explores.
+//! Claims about a member, and which of two supersedes the other. All fronts that receive the same claims, in whatever
+//! order and however often, end with the same one; tests/model.rs explores these rules by model checking.
 
-/// How a member stands. The order is that of standing at one incarnation: a later one overrules an earlier.
+/// The state of a member. Of two claims with the same incarnation the one with the later state supersedes the other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum State {
     Alive,
@@ -11,10 +11,12 @@
 }
 
 impl State {
+    /// The state with this number on the wire.
     pub fn of(number: u32) -> Option<State> {
         [State::Alive, State::Suspected, State::Dead, State::Left].get(number as usize).copied()
     }
 
+    /// Its name in logs and tables.
     pub fn name(self) -> &'static str {
         match self {
             State::Alive => "alive",
@@ -24,33 +26,35 @@
         }
     }
 
-    /// Counted as being there.
+    /// Whether a member in this state counts as present.
     pub fn here(self) -> bool {
         self <= State::Suspected
     }
 }
 
-/// A saying about one member. Compared as a whole: a later start stands over all of the former process, a later
-/// incarnation over all that was said before the member spoke up, and then the graver state.
+/// A claim about one member. Claims are ordered by start, then incarnation, then state: a later process supersedes the
+/// former one of its name, and a refutation all that it refutes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Claim {
-    /// Which of the processes of that name, by when it started; never by itself a time.
+    /// Tells processes of one name apart, and their order. It begins as a clock's time, but is never used as one.
     pub start: u64,
-    /// Raised by the member alone, to refute.
+    /// Raised only by the member itself, to refute a claim.
     pub incarnation: u64,
     pub state: State,
 }
 
 impl Claim {
+    /// The first claim of a process about itself.
     pub fn alive(start: u64) -> Claim {
         Claim { start, incarnation: 0, state: State::Alive }
     }
 
+    /// The same process and incarnation in another state.
     pub fn with(self, state: State) -> Claim {
         Claim { state, ..self }
     }
 
-    /// Whether this stands over what is known.
+    /// Whether this supersedes what is known.
     pub fn overrules(&self, known: &Claim) -> bool {
         if crate::mutant("stale-incarnation") && self.start == known.start {
             return self.state != known.state;
@@ -59,7 +63,7 @@
     }
 }
 
-/// What a member that hears a claim about itself says then, if that was not so. What it left by its own word stands.
+/// The refutation of a claim about this member, if it is wrong. A member that has left refutes nothing.
 pub fn refute(own: Claim, heard: Claim) -> Option<Claim> {
     if crate::mutant("no-refutation") || own.state == State::Left || heard.start != own.start {
         return None;
@@ -68,29 +72,7 @@
     wrong.then(|| Claim { incarnation: heard.incarnation + 1, ..own })
 }
 
-/// A member of which some are told that it has been forgotten, or that another process had its name, goes past that.
+/// A claim that supersedes this start, of another process or of one that was forgotten, unless `own` does already.
 pub fn past(own: Claim, start: u64) -> Option<Claim> {
     (start >= own.start).then(|| Claim::alive(start + 1))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_later_start_stands_over_all_of_the_former_process() {
-        let left = Claim { start: 5, incarnation: 9, state: State::Left };
-        assert!(Claim::alive(6).overrules(&left));
-        assert!(!left.overrules(&Claim::alive(6)));
-    }
-
-    #[test]
-    fn only_a_later_incarnation_brings_back_the_dead() {
-        let dead = Claim::alive(5).with(State::Dead);
-        assert!(!Claim::alive(5).overrules(&dead));
-        let back = refute(Claim::alive(5), dead).unwrap();
-        assert!(back.overrules(&dead));
-        assert_eq!(refute(back, dead), None);
-        assert_eq!(refute(Claim::alive(5).with(State::Left), dead), None);
-    }
-}
--- a/crates/members/src/envelope.rs
+++ b/crates/members/src/envelope.rs
@@ -1,18 +1,19 @@
-//! What every message between fronts is wrapped in, whatever it says: two letters that tell what kind it is, a version, a
-//! checksum (CRC-32, as in IEEE 802.3), and a protobuf message, plain in a datagram and packed (DEFLATE, RFC 1951) in a
-//! chunk of a stream.
+//! The envelope of every message between fronts: a mark of two letters for its kind, a version, a checksum (CRC-32, as in
+//! IEEE 802.3), and a protobuf message, plain in a datagram and compressed (DEFLATE, RFC 1951) in a chunk of a stream.
 
 use prost::Message;
 
+/// Length of the header: mark, version and checksum.
 pub const HEAD: usize = 7;
-/// A chunk, as it travels and unpacked: more is dropped unread.
+/// Length of a chunk at most, as it is sent and after decompression: a longer one is dropped unread.
 pub const CHUNK_MOST: usize = 64 * 1024;
 const UNPACKED_MOST: usize = 256 * 1024;
-/// Of the compressor: small where bytes are few, fast where others wait for the loop meanwhile.
+/// Compression level for messages that a small send budget limits.
 pub const SMALL: u8 = 6;
+/// Compression level for messages that the event loop waits for.
 pub const FAST: u8 = 1;
 
-/// Why a datagram was dropped.
+/// Why a message was dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Dropped {
     Short,
@@ -21,16 +22,18 @@
     Checksum,
     Garbled,
     Fleet,
-    /// A part of it is out of bounds.
+    /// A part of it is too long or out of range.
     Bounds,
-    /// No room for one more member.
+    /// There is no room for another member.
     Full,
-    /// From one that is held to be dead, about others.
+    /// It is from a member that is held to be dead.
     Dead,
+    /// It is from another process of this front's name.
     Twin,
 }
 
 impl Dropped {
+    /// All reasons.
     pub const ALL: [Dropped; 10] = [
         Dropped::Short,
         Dropped::Mark,
@@ -44,6 +47,7 @@
         Dropped::Twin,
     ];
 
+    /// Its name in metrics.
     pub fn name(self) -> &'static str {
         match self {
             Dropped::Short => "short",
@@ -60,6 +64,7 @@
     }
 }
 
+/// Encodes a plain message.
 pub fn write(mark: [u8; 2], version: u8, message: &impl Message, into: &mut Vec<u8>) {
     head(mark, version, into);
     // A vector grows as it needs to.
@@ -67,6 +72,7 @@
     seal(into);
 }
 
+/// Encodes a compressed message.
 pub fn write_packed(mark: [u8; 2], version: u8, level: u8, message: &impl Message, into: &mut Vec<u8>) {
     head(mark, version, into);
     into.extend(miniz_oxide::deflate::compress_to_vec(&message.encode_to_vec(), level));
@@ -85,12 +91,12 @@
     into[HEAD - 4..HEAD].copy_from_slice(&sum);
 }
 
-/// Which kind of message this says that it is.
+/// The mark of an encoded message.
 pub fn mark(bytes: &[u8]) -> Option<[u8; 2]> {
     bytes.first_chunk::<2>().copied()
 }
 
-/// One that was written plain or packed.
+/// Decodes a message, plain or compressed.
 pub fn read<M: Message + Default>(
     plain: [u8; 2],
     packed: [u8; 2],
--- a/crates/members/src/health.rs
+++ b/crates/members/src/health.rs
@@ -1,54 +1,59 @@
-//! How far an observer can trust its own eyes (Lifeguard's local health), and whether it was away.
+//! Local health (Lifeguard): how far this front can trust its own observations, and whether its process was paused.
 
 use crate::Micros;
 
-/// The worst score; times are up to so many and one times as long then.
-const WORST: u32 = 8;
-/// An observer that comes so much of a period late to its own times was stopped or starved.
-const LATE: f64 = 0.4;
+/// The worst score. Timeouts are multiplied by the score plus one.
+const MAX_SCORE: u32 = 8;
+/// What a pause adds to the score.
+const PAUSE_PENALTY: u32 = 2;
+/// A timer that fires later than this part of a period shows that the process was paused or starved.
+const MAX_TIMER_DELAY: f64 = 0.4;
 
+/// The local health score of one front: 0 is healthy.
 #[derive(Clone, Debug)]
 pub struct Health {
     score: u32,
-    /// A baseline without any.
-    off: bool,
+    /// Off in baselines only.
+    enabled: bool,
 }
 
 impl Health {
-    pub fn new(on: bool) -> Health {
-        Health { score: 0, off: !on }
+    /// A healthy score. Where it is not enabled it changes no timeouts.
+    pub fn new(enabled: bool) -> Health {
+        Health { score: 0, enabled }
     }
 
-    /// The observer reached nobody with a probe, neither its target nor a helper: likely it is the one cut off.
-    pub fn worse(&mut self) {
-        self.score = (self.score + 1).min(WORST);
+    /// A probe reached neither its target nor a helper: probably this front itself is cut off.
+    pub fn record_isolation(&mut self) {
+        self.score = (self.score + 1).min(MAX_SCORE);
     }
 
-    /// Somebody answered in time.
-    pub fn better(&mut self) {
+    /// A target or a helper answered in time.
+    pub fn record_answer(&mut self) {
         self.score = self.score.saturating_sub(1);
     }
 
-    /// It was stopped: what it saw before says little, and a moment later it will know more.
-    pub fn was_away(&mut self) {
-        self.score = (self.score + 2).min(WORST);
+    /// The process was paused: what it observed before is outdated.
+    pub fn record_pause(&mut self) {
+        self.score = (self.score + PAUSE_PENALTY).min(MAX_SCORE);
     }
 
+    /// The score.
     pub fn score(&self) -> u32 {
         self.score
     }
 
-    /// Times are so many times as long as usual.
-    pub fn stretch(&self) -> Micros {
-        if self.off || crate::mutant("no-health") {
+    /// What timeouts are multiplied by.
+    pub fn timeout_multiplier(&self) -> Micros {
+        if !self.enabled || crate::mutant("no-health") {
             return 1;
         }
         Micros::from(self.score + 1)
     }
 }
 
-/// By how much the clock moved on while nothing was done, if that is more than waking late.
-pub fn away(due: Micros, now: Micros, period: Micros) -> Option<Micros> {
-    let late = now - due;
-    (late as f64 > LATE * period as f64).then_some(late)
+/// How long the process was paused, if a timer that was due fires too late for an ordinary delay.
+pub fn pause_length(due: Micros, now: Micros, period: Micros) -> Option<Micros> {
+    let delay = now - due;
+    (delay as f64 > MAX_TIMER_DELAY * period as f64).then_some(delay)
 }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -1,20 +1,20 @@
-//! The view of the fleet: who is there, who is suspected, who has left or died. Bytes and events in, bytes and events
-//! out; no I/O, no clock, chance by seed (docs/fleet.md).
+//! The membership protocol of the fleet of fronts: which are present, suspected, dead or gone (docs/fleet.md). Datagrams
+//! and the time in, datagrams and changes out; no I/O, no clock, and randomness by seed.
 
 pub mod claim;
+pub mod digest;
 pub mod envelope;
 pub mod health;
 pub mod plan;
 pub mod rings;
 pub mod rumors;
-pub mod sync;
 pub mod view;
 pub mod wire;
 
-/// A moment or a span, in whole microseconds.
+/// A point in time or a duration, in microseconds.
 pub type Micros = i64;
 
-/// Broken on purpose, by name, in builds for the checkers; always false in shipped ones.
+/// Whether this deliberate fault is switched on; only in builds with the feature `mutants`, for tests of the checkers.
 #[cfg(feature = "mutants")]
 pub fn mutant(name: &str) -> bool {
     use std::sync::OnceLock;
@@ -22,6 +22,7 @@
     NAME.get_or_init(|| std::env::var("MEADOWRILL_MUTANT").unwrap_or_default()) == name
 }
 
+/// Always false in builds without the feature `mutants`.
 #[cfg(not(feature = "mutants"))]
 pub const fn mutant(_: &str) -> bool {
     false
--- a/crates/members/src/plan.rs
+++ b/crates/members/src/plan.rs
@@ -1,45 +1,51 @@
-//! What an installation sets of the fleet, with the bounds of each.
+//! The settings of the fleet, with their bounds.
 
 use crate::Micros;
 use std::net::SocketAddr;
 
-/// The key that is at fault, below `fleet`, and why.
+/// A setting that is out of bounds: its key, below `fleet`, and what is wrong with it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Faulty {
     pub key: &'static str,
     pub what: String,
 }
 
+/// The settings of the fleet for one front.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
-    /// Fronts with another fleet's name are not heard.
+    /// Name of the fleet: messages of others are dropped.
     pub fleet: String,
-    /// Where this front hears the others, and the address that it gives them, where that differs.
+    /// Where this front receives messages.
     pub listen: SocketAddr,
+    /// The address that it publishes for that.
     pub advertise: SocketAddr,
-    /// Some fronts that are asked first.
+    /// Addresses of fronts through which this one joins.
     pub contacts: Vec<SocketAddr>,
     pub zone: String,
     pub weight: u32,
     /// Time between two probes of one member by one observer.
     pub period: Micros,
-    /// How many observe a member.
+    /// Observers of each member.
     pub observers: usize,
+    /// Members that the view may hold, this front included.
     pub members_most: usize,
+    /// Rate of the send budget.
     pub bytes_per_s: u64,
-    /// How long the dead are shown and asked for, and those who left are shown.
+    /// How long members that are dead or have left stay in the view.
     pub remember: Micros,
-    /// Off only in baselines: whether an observer doubts its own eyes.
+    /// Whether local health extends timeouts: off in baselines only.
     pub own_health: bool,
-    /// Whether what is too long for datagrams may go over a stream.
+    /// Whether long parts of an exchange may go over a stream.
     pub streams: bool,
 }
 
+/// One second.
 pub const SEC: Micros = 1_000_000;
-/// A name, a zone and a version are no longer than this.
+/// Length of a name, a zone or a version at most.
 pub const TEXT_MOST: usize = 64;
 
 impl Plan {
+    /// The defaults, for a front that listens there.
     pub fn new(listen: SocketAddr) -> Plan {
         Plan {
             fleet: "meadowrill".into(),
@@ -58,11 +64,12 @@
         }
     }
 
-    /// The fleet's name, as it stands in every message.
+    /// Hash of the fleet's name, as in every message.
     pub fn number(&self) -> u64 {
         crate::rings::hash(&self.fleet, 98)
     }
 
+    /// Fails with the first setting that is out of bounds.
     pub fn check(&self) -> Result<(), Faulty> {
         let wrong = |key, what: String| Err(Faulty { key, what });
         if self.fleet.is_empty() || self.fleet.len() > TEXT_MOST {
--- a/crates/members/src/rumors.rs
+++ b/crates/members/src/rumors.rs
@@ -1,78 +1,66 @@
-//! What is still to be told: newest first, each a bounded number of times.
+//! The rumors that this front still has to transmit: newest first, each a bounded number of times.
 
 use std::collections::BTreeMap;
 
-/// Each is told so many times the doublings that the fleet's size takes.
-const TOLD: u32 = 2;
+/// How often each is transmitted, as a multiple of the binary logarithm of the fleet's size.
+const TRANSMISSIONS_PER_DOUBLING: u32 = 2;
 
+#[derive(Clone, Debug)]
+struct Rumor {
+    /// The member that it is about.
+    name: String,
+    transmissions_left: u32,
+}
+
+/// A queue of rumors, at most one about each member.
 #[derive(Clone, Debug, Default)]
 pub struct Rumors {
-    /// By age, and how often each is still to be told.
-    queue: BTreeMap<u64, (String, u32)>,
-    at: BTreeMap<String, u64>,
-    count: u64,
+    /// By age: later ones have larger numbers.
+    queue: BTreeMap<u64, Rumor>,
+    /// The number of the rumor about each member.
+    numbers: BTreeMap<String, u64>,
+    last_number: u64,
 }
 
 impl Rumors {
-    /// News about one member replaces what was to be told of it.
-    pub fn put(&mut self, name: &str, members: usize) {
-        if let Some(former) = self.at.remove(name) {
-            self.queue.remove(&former);
-        }
-        self.count += 1;
-        let times = TOLD * (usize::BITS - (members + 1).leading_zeros());
-        self.queue.insert(self.count, (name.to_string(), times));
-        self.at.insert(name.to_string(), self.count);
+    /// Queues a rumor about a member, in place of an earlier one about it. `members` is the fleet's size without this
+    /// front.
+    pub fn insert(&mut self, name: &str, members: usize) {
+        self.remove(name);
+        self.last_number += 1;
+        let doublings = usize::BITS - (members + 1).leading_zeros();
+        let transmissions_left = TRANSMISSIONS_PER_DOUBLING * doublings;
+        self.queue.insert(self.last_number, Rumor { name: name.to_string(), transmissions_left });
+        self.numbers.insert(name.to_string(), self.last_number);
     }
 
-    pub fn forget(&mut self, name: &str) {
-        if let Some(at) = self.at.remove(name) {
-            self.queue.remove(&at);
+    /// Removes the rumor about a member.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(number) = self.numbers.remove(name) {
+            self.queue.remove(&number);
         }
     }
 
+    /// Whether there is nothing left to transmit.
     pub fn is_empty(&self) -> bool {
         self.queue.is_empty()
     }
 
-    /// Hands out names, newest first, as long as `take` finds room for one more; each taken one is counted.
-    pub fn tell(&mut self, mut take: impl FnMut(&str) -> bool) {
-        let mut told = Vec::new();
-        for (at, (name, left)) in self.queue.iter_mut().rev() {
-            if !take(name) {
+    /// Passes on names, newest rumor first, until `accept` refuses one; counts a transmission of each accepted one.
+    pub fn transmit(&mut self, mut accept: impl FnMut(&str) -> bool) {
+        let mut finished = Vec::new();
+        for (number, rumor) in self.queue.iter_mut().rev() {
+            if !accept(&rumor.name) {
                 break;
             }
-            *left -= 1;
-            if *left == 0 {
-                told.push((*at, name.clone()));
+            rumor.transmissions_left -= 1;
+            if rumor.transmissions_left == 0 {
+                finished.push((*number, rumor.name.clone()));
             }
         }
-        for (at, name) in told {
-            self.queue.remove(&at);
-            self.at.remove(&name);
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn newest_first_and_each_a_bounded_number_of_times() {
-        let mut rumors = Rumors::default();
-        ["a", "b", "c"].iter().for_each(|n| rumors.put(n, 3));
-        let mut order = Vec::new();
-        rumors.tell(|name| {
-            order.push(name.to_string());
-            order.len() < 3
-        });
-        assert_eq!(order, ["c", "b", "a"]);
-        let mut told = 0;
-        while !rumors.is_empty() {
-            rumors.tell(|_| true);
-            told += 1;
+        for (number, name) in finished {
+            self.queue.remove(&number);
+            self.numbers.remove(&name);
         }
-        assert_eq!(told, 6);
     }
 }
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -36,11 +36,11 @@
 pub use member::{Member, Suspicion};
 
 use crate::claim::{Claim, State};
-use crate::health::{away, Health};
+use crate::digest::Digest;
+use crate::health::{pause_length, Health};
 use crate::plan::Plan;
 use crate::rings::{hash, Rings};
 use crate::rumors::Rumors;
-use crate::sync::Digest;
 use crate::wire::{Body, Value};
 use crate::{mutant, Micros};
 use budget::SendBudget;
@@ -105,7 +105,7 @@
         // Fronts that start together spread their periods.
         let first_probe_at = now + rng.i64(0..plan.period);
         let mut rings = Rings::new(plan.observers);
-        rings.put(&own.name);
+        rings.insert(&own.name);
         let mut view = View {
             fleet_id: plan.number(),
             own,
@@ -245,7 +245,7 @@
             self.schedule.next_at = now + self.plan.period;
             return;
         }
-        if let Some(span) = away(due, now, self.plan.period).filter(|_| self.plan.own_health) {
+        if let Some(span) = pause_length(due, now, self.plan.period).filter(|_| self.plan.own_health) {
             self.recover_from_pause(span, out);
         }
         self.process_probe_deadlines(out);
@@ -266,7 +266,7 @@
     /// This process was paused and knows nothing of what happened meanwhile: it withdraws its open probes and its
     /// accusations of others.
     fn recover_from_pause(&mut self, span: Micros, out: &mut Vec<Act>) {
-        self.health.was_away();
+        self.health.record_pause();
         if !mutant("trusts-itself") {
             self.probes.clear();
             self.relayed_probes.clear();
@@ -294,12 +294,12 @@
     /// before and after each change of either.
     fn toggle_digest(&mut self, name: &str) {
         if let Some(member) = self.members.get(name).filter(|member| member.claim.state.here()) {
-            self.digest.turn(name, &member.claim, member.rev);
+            self.digest.toggle(name, &member.claim, member.rev);
         }
     }
 
     /// The same for this front, whatever its state.
     fn toggle_own_digest(&mut self) {
-        self.digest.turn(&self.own.name, &self.own.claim, self.own.revision);
+        self.digest.toggle(&self.own.name, &self.own.claim, self.own.revision);
     }
 }
--- a/crates/members/src/view/anti_entropy.rs
+++ b/crates/members/src/view/anti_entropy.rs
@@ -7,14 +7,14 @@
 use super::peers::Recipient;
 use super::transfer::MAX_DATAGRAM_RECORDS;
 use super::{Act, Change, View};
-use crate::wire::{Buckets, Root, Said};
+use crate::wire::{BucketDigests, RootDigest, Said};
 
 /// Records sent to a front that knows few members; over a stream as many as it knows, which doubles them.
 const BOOTSTRAP_RECORDS: usize = MAX_DATAGRAM_RECORDS;
 
 impl View {
     /// The digest of another front's whole view.
-    pub(super) fn receive_root_digest(&mut self, sender: Recipient, root: Root, out: &mut Vec<Act>) {
+    pub(super) fn receive_root_digest(&mut self, sender: Recipient, root: RootDigest, out: &mut Vec<Act>) {
         if root.digest == self.digest.root() {
             return self.mark_joined(out);
         }
@@ -25,8 +25,8 @@
         if knows_few {
             self.bootstrap(sender, root.count as usize, out);
         } else {
-            let digests = self.digest.short();
-            self.send(sender, Some(Said::Buckets(Buckets { digests })), out);
+            let digests = self.digest.bucket_digests();
+            self.send(sender, Some(Said::BucketDigests(BucketDigests { digests })), out);
         }
     }
 
--- a/crates/members/src/view/dissemination.rs
+++ b/crates/members/src/view/dissemination.rs
@@ -14,7 +14,7 @@
     /// Spreads and reports a new claim about a member; `former` is the one that it replaces.
     pub(super) fn announce(&mut self, report: Report, former: Option<Claim>, out: &mut Vec<Act>) {
         if self.is_spread(report, former) {
-            self.rumors.put(report.name, self.members.len());
+            self.rumors.insert(report.name, self.members.len());
         }
         if is_urgent(report, former) {
             self.schedule_push();
--- a/crates/members/src/view/inventory.rs
+++ b/crates/members/src/view/inventory.rs
@@ -4,8 +4,8 @@
 use super::transfer::{DATAGRAM_ROOM, STREAM_CHUNK, STREAM_THRESHOLD};
 use super::{Act, Member, View, Why};
 use crate::claim::{Claim, State};
-use crate::sync::bucket;
-use crate::wire::{Have, Record, Said, BUCKETS};
+use crate::digest::bucket;
+use crate::wire::{Inventory, Record, Said, BUCKETS};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What an item and a bucket number take in a message besides their own encoding, at most.
@@ -25,7 +25,7 @@
         self.items.iter().map(|item| prost::Message::encoded_len(item) + ITEM_OVERHEAD).sum()
     }
 
-    fn append_to(self, inventory: &mut Have) {
+    fn append_to(self, inventory: &mut Inventory) {
         inventory.buckets.push(self.bucket as u32);
         inventory.items.extend(self.items);
     }
@@ -58,7 +58,7 @@
 
     /// The buckets that differ, from a random one on: where not all fit, another comparison begins with others.
     fn differing_buckets(&mut self, theirs: &[u32]) -> Vec<usize> {
-        let ours = self.digest.short();
+        let ours = self.digest.bucket_digests();
         let first = self.rng.usize(0..BUCKETS);
         (0..BUCKETS)
             .map(|offset| (first + offset) % BUCKETS)
@@ -85,7 +85,7 @@
 
     /// Sends whole buckets up to one chunk of a stream. The next comparison finds the rest.
     fn stream_inventory(&mut self, to: Recipient, buckets: Vec<BucketItems>, out: &mut Vec<Act>) {
-        let mut inventory = Have::default();
+        let mut inventory = Inventory::default();
         let mut length = 0;
         for bucket in buckets {
             length += bucket.encoded_length();
@@ -95,13 +95,13 @@
             bucket.append_to(&mut inventory);
         }
         if self.may_send_deferrable() {
-            self.send_chunk(to.address, Said::Have(inventory), out);
+            self.send_chunk(to.address, Said::Inventory(inventory), out);
         }
     }
 
     /// Sends as many buckets in each datagram as fit, as far as the budget allows.
     fn send_inventory(&mut self, to: Recipient, buckets: Vec<BucketItems>, out: &mut Vec<Act>) {
-        let mut inventory = Have::default();
+        let mut inventory = Inventory::default();
         for bucket in buckets {
             let length = bucket.encoded_length();
             let total = prost::Message::encoded_len(&inventory) + length + BUCKET_OVERHEAD;
@@ -109,7 +109,7 @@
                 if !self.may_send_deferrable() {
                     return;
                 }
-                self.send(to, Some(Said::Have(std::mem::take(&mut inventory))), out);
+                self.send(to, Some(Said::Inventory(std::mem::take(&mut inventory))), out);
             }
             if length <= DATAGRAM_ROOM {
                 bucket.append_to(&mut inventory);
@@ -118,7 +118,7 @@
             }
         }
         if !inventory.buckets.is_empty() {
-            self.send(to, Some(Said::Have(inventory)), out);
+            self.send(to, Some(Said::Inventory(inventory)), out);
         }
     }
 
@@ -129,15 +129,15 @@
             if !self.may_send_deferrable() {
                 return false;
             }
-            let part = Have { buckets: Vec::new(), items: items.to_vec() };
-            self.send(to, Some(Said::Have(part)), out);
+            let part = Inventory { buckets: Vec::new(), items: items.to_vec() };
+            self.send(to, Some(Said::Inventory(part)), out);
         }
         true
     }
 
     /// Another front's inventory: takes in its claims, requests records that are newer there, and sends those that are
     /// newer here.
-    pub(super) fn receive_inventory(&mut self, sender: Recipient, inventory: Have, out: &mut Vec<Act>) {
+    pub(super) fn receive_inventory(&mut self, sender: Recipient, inventory: Inventory, out: &mut Vec<Act>) {
         let listed: BTreeSet<String> = inventory.items.iter().map(|item| item.name.clone()).collect();
         let mut difference = Difference::default();
         for item in inventory.items {
--- a/crates/members/src/view/maintenance.rs
+++ b/crates/members/src/view/maintenance.rs
@@ -4,7 +4,7 @@
 use super::peers::{Peer, Recipient};
 use super::{Act, Change, View};
 use crate::claim::State;
-use crate::wire::{Ping, Root, Said};
+use crate::wire::{Ping, RootDigest, Said};
 use crate::{mutant, Micros};
 use std::net::SocketAddr;
 
@@ -61,8 +61,8 @@
     /// Sends the digest of the view to a random member; the two exchange more where theirs differ.
     fn begin_exchange(&mut self, out: &mut Vec<Act>) {
         for peer in self.random_peers(1, "") {
-            let root = Root { digest: self.digest.root(), count: self.here() as u64 };
-            self.send(peer.recipient(), Some(Said::Root(root)), out);
+            let root = RootDigest { digest: self.digest.root(), count: self.here() as u64 };
+            self.send(peer.recipient(), Some(Said::RootDigest(root)), out);
         }
     }
 
@@ -88,7 +88,7 @@
         if let Some(member) = self.members.remove(&name).filter(|_| !mutant("forgets-whole")) {
             self.forgotten.insert(&name, member.claim.start, self.now);
         }
-        self.rumors.forget(&name);
+        self.rumors.remove(&name);
         out.push(Act::Tell(Change::Forgotten { name }));
     }
 
--- a/crates/members/src/view/merge.rs
+++ b/crates/members/src/view/merge.rs
@@ -126,7 +126,7 @@
         member.received_at = (why == Why::Said).then_some(self.now);
         self.members.insert(name.into(), member);
         if claim.state.here() {
-            self.rings.put(name);
+            self.rings.insert(name);
             self.toggle_digest(name);
             self.membership_changed_at = self.now;
         }
@@ -168,7 +168,7 @@
         }
         // What comes by anti-entropy spreads by it as well.
         if why != Why::Caught {
-            self.rumors.put(name, self.members.len());
+            self.rumors.insert(name, self.members.len());
         }
         if !is_first {
             out.push(Act::Tell(Change::Values { name: name.into() }));
@@ -193,8 +193,8 @@
         self.replace_claim(name, claim, by);
         self.toggle_digest(name);
         match (former.state.here(), claim.state.here()) {
-            (true, false) => self.rings.take(name),
-            (false, true) => self.rings.put(name),
+            (true, false) => self.rings.remove(name),
+            (false, true) => self.rings.insert(name),
             _ => {}
         }
         if former.state.here() != claim.state.here() || former.start != claim.start {
--- a/crates/members/src/view/own.rs
+++ b/crates/members/src/view/own.rs
@@ -98,7 +98,7 @@
     }
 
     fn spread_own_record(&mut self) {
-        self.rumors.put(&self.own.name, self.members.len());
+        self.rumors.insert(&self.own.name, self.members.len());
         self.schedule_push();
     }
 }
--- a/crates/members/src/view/probing.rs
+++ b/crates/members/src/view/probing.rs
@@ -3,7 +3,7 @@
 use super::budget::ESSENTIAL_SHARE;
 use super::peers::Recipient;
 use super::{Act, View};
-use crate::wire::{Ask, Ping, Said};
+use crate::wire::{Ping, PingRequest, Said};
 use crate::Micros;
 
 /// The part of a period that a direct probe may take, as a divisor.
@@ -45,7 +45,7 @@
         if self.probes.values().any(|probe| probe.target == name) {
             return;
         }
-        let (period, multiplier) = (self.plan.period, self.health.stretch());
+        let (period, multiplier) = (self.plan.period, self.health.timeout_multiplier());
         let probe = Probe {
             target: name.into(),
             sent_at: self.now,
@@ -88,8 +88,8 @@
         self.budget.refill(self.now);
         let helpers = if self.budget.has_share(ESSENTIAL_SHARE) { INDIRECT_HELPERS } else { 1 };
         for helper in self.random_peers(helpers, &target) {
-            let request = Ask { seq: sequence, target: target.clone(), address: address.to_string() };
-            self.send(helper.recipient(), Some(Said::Ask(request)), out);
+            let request = PingRequest { seq: sequence, target: target.clone(), address: address.to_string() };
+            self.send(helper.recipient(), Some(Said::PingRequest(request)), out);
         }
     }
 
@@ -113,7 +113,7 @@
         self.counts.failures += 1;
         let has_other_members = self.members.values().filter(|m| m.claim.state.here()).count() > 1;
         if !probe.helper_responded && has_other_members {
-            self.health.worse();
+            self.health.record_isolation();
         }
         self.suspect_unanswering(&probe.target, out);
     }
@@ -124,7 +124,7 @@
             return;
         }
         let Some(probe) = self.probes.remove(&sequence) else { return };
-        self.health.better();
+        self.health.record_answer();
         let Some(member) = self.members.get_mut(&probe.target) else { return };
         member.acknowledged_at = Some(self.now);
         if probe.target == from {
@@ -143,7 +143,7 @@
     pub(super) fn receive_nack(&mut self, sequence: u64) {
         if let Some(probe) = self.probes.get_mut(&sequence) {
             probe.helper_responded = true;
-            self.health.better();
+            self.health.record_answer();
         }
     }
 }
--- a/crates/members/src/view/receive.rs
+++ b/crates/members/src/view/receive.rs
@@ -104,9 +104,9 @@
                 self.receive_departure(sender, claim, packet.address, seq, out);
             }
             Some(Said::Confirmed(_)) => self.receive_departure_confirmation(sender.name),
-            Some(Said::Root(root)) => self.receive_root_digest(sender, root, out),
-            Some(Said::Buckets(buckets)) => self.receive_bucket_digests(sender, &buckets.digests, out),
-            Some(Said::Have(inventory)) => self.receive_inventory(sender, inventory, out),
+            Some(Said::RootDigest(root)) => self.receive_root_digest(sender, root, out),
+            Some(Said::BucketDigests(buckets)) => self.receive_bucket_digests(sender, &buckets.digests, out),
+            Some(Said::Inventory(inventory)) => self.receive_inventory(sender, inventory, out),
             Some(Said::Want(want)) => {
                 for record in want.records {
                     self.receive_record(record, Why::Caught, out);
@@ -134,7 +134,7 @@
                 self.receive_ping(sender, ping, out);
                 true
             }
-            Some(Said::Ask(request)) => self.receive_ping_request(sender, request, out),
+            Some(Said::PingRequest(request)) => self.receive_ping_request(sender, request, out),
             Some(Said::Ack(Seq { seq })) => {
                 self.receive_ack(sender.name, seq, out);
                 false
--- a/crates/members/src/view/relaying.rs
+++ b/crates/members/src/view/relaying.rs
@@ -3,7 +3,7 @@
 use super::peers::{Peer, Recipient};
 use super::probing::DIRECT_TIMEOUT_DIVISOR;
 use super::{Act, View};
-use crate::wire::{Ask, Ping, Said, Seq};
+use crate::wire::{Ping, PingRequest, Said, Seq};
 use crate::Micros;
 
 /// A probe sent at the request of another front.
@@ -29,7 +29,7 @@
     pub(super) fn receive_ping_request(
         &mut self,
         requester: Recipient,
-        request: Ask,
+        request: PingRequest,
         out: &mut Vec<Act>,
     ) -> bool {
         let Ok(address) = request.address.parse() else { return false };
--- a/crates/members/src/view/send.rs
+++ b/crates/members/src/view/send.rs
@@ -59,7 +59,7 @@
         let allows_bodies = self.budget.has_share(BODY_RUMORS_SHARE);
         let mut size = wire::length(packet);
         let mut rumors = std::mem::take(&mut self.rumors);
-        rumors.tell(|name| {
+        rumors.transmit(|name| {
             if includes_own_record && name == self.own.name {
                 return true;
             }
--- a/crates/members/src/view/suspicion.rs
+++ b/crates/members/src/view/suspicion.rs
@@ -91,7 +91,7 @@
         let shortest = self.plan.period as f64 * size_factor;
         let longest = shortest * MAX_TIMEOUT_FACTOR;
         let timeout = longest - (longest - shortest) * self.agreement(name, suspicion);
-        timeout as Micros * self.health.stretch()
+        timeout as Micros * self.health.timeout_multiplier()
     }
 
     /// From 0, where no observer but this front accuses the member, to 1, where enough of them do.
--- /dev/null
+++ b/crates/members/tests/claim.rs
@@ -0,0 +1,20 @@
+//! Which of two claims about one member stands, and how a wrong one is refuted.
+
+use meadowrill_members::claim::{refute, Claim, State};
+
+#[test]
+fn a_later_start_stands_over_all_of_the_former_process() {
+    let left = Claim { start: 5, incarnation: 9, state: State::Left };
+    assert!(Claim::alive(6).overrules(&left));
+    assert!(!left.overrules(&Claim::alive(6)));
+}
+
+#[test]
+fn only_a_later_incarnation_brings_back_the_dead() {
+    let dead = Claim::alive(5).with(State::Dead);
+    assert!(!Claim::alive(5).overrules(&dead));
+    let back = refute(Claim::alive(5), dead).unwrap();
+    assert!(back.overrules(&dead));
+    assert_eq!(refute(back, dead), None);
+    assert_eq!(refute(Claim::alive(5).with(State::Left), dead), None);
+}
--- /dev/null
+++ b/crates/members/tests/rumors.rs
@@ -0,0 +1,21 @@
+//! The order in which rumors are told, and how often.
+
+use meadowrill_members::rumors::Rumors;
+
+#[test]
+fn newest_first_and_each_a_bounded_number_of_times() {
+    let mut rumors = Rumors::default();
+    ["a", "b", "c"].iter().for_each(|n| rumors.insert(n, 3));
+    let mut order = Vec::new();
+    rumors.transmit(|name| {
+        order.push(name.to_string());
+        order.len() < 3
+    });
+    assert_eq!(order, ["c", "b", "a"]);
+    let mut told = 0;
+    while !rumors.is_empty() {
+        rumors.transmit(|_| true);
+        told += 1;
+    }
+    assert_eq!(told, 6);
+}
--- a/crates/rig/src/baselines.rs
+++ b/crates/rig/src/baselines.rs
@@ -3,7 +3,7 @@
 use crate::model::{address, Config, Peer};
 use meadowrill_members::claim::{refute, Claim, State};
 use meadowrill_members::view::{Act, Change, Why};
-use meadowrill_members::wire::{self, Ask, Packet, Ping, Record, Said, Seq};
+use meadowrill_members::wire::{self, Packet, Ping, PingRequest, Record, Said, Seq};
 use meadowrill_members::Micros;
 use std::collections::BTreeMap;
 
@@ -200,7 +200,7 @@
                     self.probe = None;
                 }
             }
-            Some(Said::Ask(ask)) => {
+            Some(Said::PingRequest(ask)) => {
                 if let Some(target) = self.number(&ask.target) {
                     self.seq += 1;
                     self.errands.insert(self.seq, (ask.seq, from));
@@ -224,7 +224,11 @@
                     let helper = self.rng.usize(0..self.claims.len());
                     if helper != self.me && self.claims[helper].0.state.here() {
                         let target = self.names[target].clone();
-                        self.send(helper, Said::Ask(Ask { seq, target, address: String::new() }), out);
+                        self.send(
+                            helper,
+                            Said::PingRequest(PingRequest { seq, target, address: String::new() }),
+                            out,
+                        );
                     }
                 }
             }
