A front that gives way is woken once a period, and numbers at their limits are read

Numbers from the wire were added to and doubled unchecked. Change: one that gave way wants its maintenance only; saturating arithmetic.

--- a/crates/members/src/claim.rs
+++ b/crates/members/src/claim.rs
@@ -69,10 +69,10 @@
         return None;
     }
     let wrong = heard.state != State::Alive && heard.incarnation >= own.incarnation;
-    wrong.then(|| Claim { incarnation: heard.incarnation + 1, ..own })
+    wrong.then(|| Claim { incarnation: heard.incarnation.saturating_add(1), ..own })
 }
 
 /// A claim that supersedes this start, of another process or of one that was forgotten, unless `own` does already.
 pub fn past(own: Claim, start: u64) -> Option<Claim> {
-    (start >= own.start).then(|| Claim::alive(start + 1))
+    (start >= own.start).then(|| Claim::alive(start.saturating_add(1)))
 }
--- a/crates/members/src/view.rs
+++ b/crates/members/src/view.rs
@@ -227,6 +227,10 @@
 
     /// When [`View::tick`] has to be called next.
     pub fn next(&self) -> Micros {
+        if self.gave_way {
+            // Probes and pushes that were due are never sent any more.
+            return self.maintenance.next_at;
+        }
         let timers = [self.maintenance.next_at, self.schedule.next_at].into_iter();
         timers
             .chain(self.probes.values().map(Probe::next_deadline))
@@ -242,7 +246,6 @@
         self.now = now;
         if self.gave_way {
             self.maintenance.next_at = now + self.plan.period;
-            self.schedule.next_at = now + self.plan.period;
             return;
         }
         if let Some(span) = pause_length(due, now, self.plan.period).filter(|_| self.plan.own_health) {
--- a/crates/members/src/view/anti_entropy.rs
+++ b/crates/members/src/view/anti_entropy.rs
@@ -18,7 +18,7 @@
         if root.digest == self.digest.root() {
             return self.mark_joined(out);
         }
-        let knows_few = root.count * 2 < self.here() as u64;
+        let knows_few = root.count.saturating_mul(2) < self.here() as u64;
         if !self.may_send_deferrable() {
             return;
         }
