Events: relays tell the publisher of a later epoch; a run with a large fleet

Cause: where publisher and relays started anew with a clock that is behind, fronts of the later epoch were refused by each relay until they came to ask the publisher itself: up to 15 s. Change: a relay's heartbeat names the latest epoch that a subscriber is ahead in. Result: a_relay_tells_the_publisher_of_a_later_epoch fails without, passes with it.

--- a/crates/events/src/distributor.rs
+++ b/crates/events/src/distributor.rs
@@ -92,7 +92,7 @@
         self.leases.report(at);
     }
 
-    /// A heartbeat of a subscriber. The epoch that it is in, where that is newer than any known here.
+    /// A heartbeat of a subscriber. The epoch that it is in, or one that it feeds, where that is later than the one here.
     pub fn heartbeat(
         &mut self,
         now: Micros,
@@ -108,6 +108,7 @@
         if !self.subscriptions.contains_key(&heartbeat.name) {
             self.admit(now, &heartbeat, address, out)?;
         }
+        let later = Some(Epoch(heartbeat.later_epoch)).filter(|later| *later > head.epoch);
         let Some(subscription) = self.subscriptions.get_mut(&heartbeat.name) else { return Ok(None) };
         let at = heartbeat.at.map(LogPosition::from);
         if at.is_some_and(|at| at.epoch == head.epoch && at.position > head.position) {
@@ -122,14 +123,14 @@
         }
         let Some(at) = subscription.at.filter(|_| !heartbeat.snapshot) else {
             self.send_snapshot(now, &heartbeat, address, supply.log, out);
-            return Ok(None);
+            return Ok(later);
         };
         match supply.log.next_after(at) {
             Next::Missing => self.send_snapshot(now, &heartbeat, address, supply.log, out),
-            Next::Ahead => return Ok(Some(at.epoch)),
+            Next::Ahead => return Ok(later.max(Some(at.epoch))),
             Next::Batch { .. } | Next::Epoch { .. } | Next::UpToDate => {}
         }
-        Ok(None)
+        Ok(later)
     }
 
     fn answer_without_lease(
--- a/crates/events/src/relay.rs
+++ b/crates/events/src/relay.rs
@@ -34,8 +34,9 @@
                 counters.received += 1;
                 counters.received_bytes += bytes.len() as u64;
                 let supply = supply(&self.plan, &self.follower, now);
-                if let Err(why) = self.distributor.heartbeat(now, heartbeat, &supply, out) {
-                    self.distributor.counters.reject(why);
+                match self.distributor.heartbeat(now, heartbeat, &supply, out) {
+                    Ok(later) => self.follower.later_epoch = self.follower.later_epoch.max(later),
+                    Err(why) => self.distributor.counters.reject(why),
                 }
             }
             Ok(body) => {
--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -63,6 +63,8 @@
     head: Option<LogPosition>,
     /// Of a relay: what all that it feeds have applied.
     pub(crate) acknowledged: Option<LogPosition>,
+    /// Of a relay: the latest epoch that a subscriber was ahead in. The publisher has to hear of it: its clock is behind.
+    pub(crate) later_epoch: Option<Epoch>,
     hops: u32,
     lease_until: Option<Micros>,
     /// Since when there is no lease.
@@ -115,6 +117,7 @@
             log: EventLog::new(window_bytes, purges),
             head: None,
             acknowledged: None,
+            later_epoch: None,
             hops: 0,
             lease_until: None,
             without_since: Some(now),
@@ -275,6 +278,7 @@
             gap,
             cursor: self.fetch.as_ref().and_then(|fetch| fetch.cursor).map(SnapshotPlace::of),
             snapshot: self.fetch.is_some(),
+            later_epoch: self.later_epoch.map_or(0, |epoch| epoch.0),
         };
         self.requests.push_back(Request { number: self.next_request, sent: now });
         if self.requests.len() > REQUESTS_MOST {
--- a/crates/events/src/wire.rs
+++ b/crates/events/src/wire.rs
@@ -100,6 +100,9 @@
     /// A snapshot is being fetched.
     #[prost(bool, tag = "9")]
     pub snapshot: bool,
+    /// Of a relay: a subscriber is in this epoch, which is later than its own; 0: none is.
+    #[prost(uint64, tag = "10")]
+    pub later_epoch: u64,
 }
 
 /// The answer to a heartbeat.
@@ -250,7 +253,8 @@
         // All that a relay feeds are no farther than the relay.
         let acknowledged = self.acknowledged.map(LogPosition::from) <= self.at.map(LogPosition::from);
         let cursor = self.cursor.is_none_or(|cursor| cursor.cursor().is_some());
-        text && acknowledged && cursor && self.at.is_none_or(|at| at.is_within_bounds())
+        let epoch = self.later_epoch <= EPOCH_MOST.0;
+        text && acknowledged && cursor && epoch && self.at.is_none_or(|at| at.is_within_bounds())
     }
 }
 
--- a/crates/events/tests/regressions.rs
+++ b/crates/events/tests/regressions.rs
@@ -396,6 +396,18 @@
     assert_ne!(epochs[0], epochs[1]);
 }
 
+/// All relays and the publisher have started anew, and the publisher's clock is behind the epoch of a front.
+#[test]
+fn a_relay_tells_the_publisher_of_a_later_epoch() {
+    let mut network = Network::new(4, 3, 1);
+    network.run(3 * SECOND).unwrap();
+    network.nodes[0].clock_offset = -3_600 * SECOND;
+    (0..4).for_each(|node| network.kill(node));
+    (0..4).for_each(|node| network.start(node));
+    publish(&mut network, 7 * SECOND);
+    assert_eq!(network.first_behind(0), None);
+}
+
 /// What a relay still holds of a former epoch is sent, also to one that could go on without it.
 #[test]
 fn the_rest_of_a_former_epoch_is_sent_first() {
--- a/crates/events/tests/schedules.rs
+++ b/crates/events/tests/schedules.rs
@@ -1,5 +1,5 @@
 //! Schedules of faults drawn by seeds, against the whole of publisher, relays and subscribers in one process.
-//! `MEADOWRILL_SEEDS` tells how many, `MEADOWRILL_SEED` the first one.
+//! `MEADOWRILL_SEEDS` tells how many, `MEADOWRILL_SEED` the first one, `MEADOWRILL_FLEET` how many follow in the large run.
 
 mod simulation;
 
@@ -11,6 +11,8 @@
 use std::sync::Mutex;
 
 const SEEDS: u64 = 40;
+/// Subscribers of the large fleet where nothing else is told.
+const FLEET: u64 = 300;
 const THREADS: usize = 2;
 
 fn setting(name: &str, otherwise: u64) -> u64 {
@@ -40,6 +42,24 @@
     assert!(latest >= network.plan.copy_age, "in force after {latest} us");
 }
 
+/// A fleet that is as large as `MEADOWRILL_FLEET` tells, with two relays that are killed and come back.
+#[test]
+fn a_large_fleet_loses_nothing_with_two_relays() {
+    let fleet = setting("MEADOWRILL_FLEET", FLEET) as usize;
+    let mut network = Network::new(8, fleet, 1);
+    network.loss_per_mille = 10;
+    network.run(8 * SECOND).unwrap();
+    assert_eq!(network.first_behind(0), None);
+    publish(&mut network, 60, 3 * SECOND).unwrap();
+    [2, 3].into_iter().for_each(|relay| network.kill(relay));
+    publish(&mut network, 60, 4 * SECOND).unwrap();
+    [2, 3].into_iter().for_each(|relay| network.start(relay));
+    publish(&mut network, 60, 3 * SECOND).unwrap();
+    network.run(5 * SECOND).unwrap();
+    network.settled().unwrap();
+    println!("{fleet} subscribers: {}", describe("done", network.history.spans().collect()));
+}
+
 #[test]
 fn drawn_schedules_hold() {
     let (first, seeds) = (setting("MEADOWRILL_SEED", 0), setting("MEADOWRILL_SEEDS", SEEDS));
@@ -55,6 +75,9 @@
         match schedule(seed, subscribers_most) {
             Ok(measured) => {
                 let mut all = all.lock().unwrap();
+                if let Some(slow) = measured.caught_up.iter().find(|span| **span > 6 * SECOND) {
+                    println!("seed {seed}: caught up after {} ms", slow / 1000);
+                }
                 all.done.extend(measured.done);
                 all.caught_up.extend(measured.caught_up);
             }
