--- /dev/null
+++ b/crates/events/tests/wire.rs
@@ -0,0 +1,387 @@
+//! What comes over the wire: anything may. It is dropped and counted, and nothing is lost by it.
+
+mod simulation;
+
+use meadowrill_events::event::{Epoch, Event, LogPosition, Purge, PurgeKey};
+use meadowrill_events::output::{Counters, Output, Rejected};
+use meadowrill_events::plan::{Identity, RelayPlan, MILLISECOND, SECOND};
+use meadowrill_events::publisher::Publisher;
+use meadowrill_events::relay::Relay;
+use meadowrill_events::subscriber::Subscriber;
+use meadowrill_events::wire::{
+    self, Batch, Body, Busy, Grant, Heartbeat, Packer, Place, PlaceKey, SnapshotPart, SnapshotPlace,
+    DATAGRAM_MOST, EVENTS_MOST,
+};
+use proptest::prelude::*;
+use simulation::node::Member;
+use simulation::{address, Network, FLEET, START};
+
+/// Datagrams that one member may send for one that it receives, at the most: a snapshot's parts, and what is due beside.
+const ANSWERS_MOST: usize = 64;
+
+fn key() -> impl Strategy<Value = PurgeKey> {
+    prop_oneof![any::<u64>().prop_map(PurgeKey::Object), any::<u32>().prop_map(PurgeKey::Group)]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let stamp = prop_oneof![START - SECOND..START + SECOND, any::<i64>()];
+    (key(), stamp).prop_map(|(key, stamp)| Event::Purge(Purge { key, stamp }))
+}
+
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![0..20u64, START as u64..START as u64 + 20, any::<u64>()]
+}
+
+fn place() -> impl Strategy<Value = Place> {
+    (number(), number()).prop_map(|(epoch, position)| Place { epoch, position })
+}
+
+fn snapshot_place() -> impl Strategy<Value = SnapshotPlace> {
+    let key = proptest::option::of(prop_oneof![
+        any::<u64>().prop_map(PlaceKey::Object),
+        any::<u32>().prop_map(PlaceKey::Group)
+    ]);
+    (any::<i64>(), key).prop_map(|(stamp, key)| SnapshotPlace { stamp, key })
+}
+
+fn packed() -> impl Strategy<Value = Vec<u8>> {
+    let sound = proptest::collection::vec(event(), 0..20).prop_map(|events| {
+        let mut packer = Packer::default();
+        events.iter().take_while(|event| packer.push(event)).for_each(drop);
+        packer.finish()
+    });
+    prop_oneof![sound, proptest::collection::vec(any::<u8>(), 0..60)]
+}
+
+fn heartbeat() -> impl Strategy<Value = Heartbeat> {
+    let text = prop_oneof!["relay-1", "front-3", ".{0,80}"];
+    let to = prop_oneof!["127.0.0.3:7100", ".{0,80}"];
+    let places = proptest::array::uniform2(proptest::option::of(place()));
+    let rest = (number(), any::<u32>(), any::<bool>(), any::<bool>(), number());
+    let cursor = proptest::option::of(snapshot_place());
+    (text, to, places, cursor, rest).prop_map(|(name, address, [at, acknowledged], cursor, rest)| {
+        let (incarnation, request, gap, snapshot, later_epoch) = rest;
+        Heartbeat {
+            name,
+            incarnation,
+            address,
+            request,
+            at,
+            acknowledged,
+            gap,
+            cursor,
+            snapshot,
+            later_epoch,
+        }
+    })
+}
+
+fn grant() -> impl Strategy<Value = Grant> {
+    let request = prop_oneof![0..1u32 << 21, any::<u32>()];
+    (request, any::<u32>(), any::<u32>()).prop_map(|(request, lease_us, hops)| Grant {
+        request,
+        lease_us,
+        hops,
+    })
+}
+
+fn batch() -> impl Strategy<Value = Batch> {
+    let options = (proptest::option::of(grant()), proptest::option::of(place()));
+    (number(), number(), number(), packed(), options, any::<u32>()).prop_map(
+        |(epoch, first, head, events, (grant, follows), age_ms)| Batch {
+            epoch,
+            first,
+            head,
+            events,
+            grant,
+            follows,
+            age_ms,
+        },
+    )
+}
+
+fn snapshot_part() -> impl Strategy<Value = SnapshotPart> {
+    let places = proptest::array::uniform2(proptest::option::of(snapshot_place()));
+    let at = proptest::option::of(place());
+    (at, places, packed(), proptest::option::of(any::<i64>()), any::<bool>(), any::<u32>()).prop_map(
+        |(at, [after, next], events, floor, paused, request)| SnapshotPart {
+            at,
+            after,
+            next,
+            events,
+            floor,
+            paused,
+            request,
+        },
+    )
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    let busy = (any::<u32>(), any::<u32>(), any::<bool>()).prop_map(|(request, retry_ms, full)| Busy {
+        request,
+        retry_ms,
+        full,
+    });
+    prop_oneof![
+        heartbeat().prop_map(Body::Heartbeat),
+        batch().prop_map(Body::Batch),
+        snapshot_part().prop_map(Body::SnapshotPart),
+        busy.prop_map(Body::Busy),
+    ]
+}
+
+/// A datagram: written by another build, with a byte or two changed behind or before the checksum, cut off, or anything.
+fn datagram() -> impl Strategy<Value = Vec<u8>> {
+    let written = body().prop_map(|body| wire::write(FLEET, body));
+    let changed = (body(), any::<prop::sample::Index>(), any::<u8>(), any::<bool>()).prop_map(
+        |(body, at, byte, is_resealed)| {
+            let mut bytes = wire::write(FLEET, body);
+            let at = at.index(bytes.len());
+            bytes[at] = byte;
+            if is_resealed && bytes.len() > HEAD {
+                let checksum = crc32fast::hash(&bytes[HEAD..]);
+                bytes[HEAD - 4..HEAD].copy_from_slice(&checksum.to_le_bytes());
+            }
+            bytes
+        },
+    );
+    let cut = (body(), any::<prop::sample::Index>()).prop_map(|(body, at)| {
+        let bytes = wire::write(FLEET, body);
+        bytes[..at.index(bytes.len())].to_vec()
+    });
+    prop_oneof![4 => written, 2 => changed, 1 => cut, 1 => proptest::collection::vec(any::<u8>(), 0..DATAGRAM_MOST)]
+}
+
+/// Mark, version and checksum.
+const HEAD: usize = 7;
+
+fn identity(name: &str, node: usize) -> Identity {
+    let (region, zone) = ("region".into(), "zone".into());
+    Identity { name: name.into(), incarnation: 1, address: address(node), region, zone }
+}
+
+/// One member of each kind; the publisher once with others to recover from, and once alone.
+fn members(network: &Network) -> Vec<Member> {
+    let plan = network.plan.clone();
+    let alone = meadowrill_events::plan::Plan { relays: plan.relays[..1].to_vec(), ..plan.clone() };
+    let relay = RelayPlan { subscribers_most: 8, window_bytes: 10_000, ..RelayPlan::default() };
+    let publisher = |plan| Publisher::new(plan, relay.clone(), identity("relay-0", 0), START, 1);
+    let follower = Relay::new(plan.clone(), relay.clone(), identity("relay-1", 1), START, 1);
+    let front = Subscriber::new(plan.clone(), identity("front-3", 3), START, 1);
+    vec![
+        Member::Publisher(Box::new(publisher(plan.clone()))),
+        Member::Publisher(Box::new(publisher(alone))),
+        Member::Relay(Box::new(follower)),
+        Member::Subscriber(Box::new(front)),
+    ]
+}
+
+fn check_sent(out: &[Output]) -> Result<(), TestCaseError> {
+    for output in out {
+        if let Output::Send { bytes, .. } = output {
+            prop_assert!(bytes.len() <= DATAGRAM_MOST, "{} bytes", bytes.len());
+            prop_assert!(wire::read(FLEET, bytes).is_ok(), "writes what nobody reads");
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn what_is_written_is_read(body in body()) {
+        let bytes = wire::write(FLEET, body.clone());
+        match wire::read(FLEET, &bytes) {
+            Ok(read) => prop_assert_eq!(read, body),
+            Err(why) => prop_assert_eq!(why, Rejected::Bounds),
+        }
+        prop_assert_eq!(wire::read(FLEET + 1, &bytes).err(), Some(Rejected::Fleet));
+    }
+
+    #[test]
+    fn a_byte_changed_on_the_way_is_noticed(
+        body in body(), at in any::<prop::sample::Index>(), bit in 0..8u8,
+    ) {
+        let mut bytes = wire::write(FLEET, body);
+        let at = at.index(bytes.len());
+        bytes[at] ^= 1 << bit;
+        prop_assert_eq!(wire::read(FLEET, &bytes).err(), Some(Rejected::Envelope));
+    }
+
+    #[test]
+    fn anything_is_read_or_dropped(bytes in proptest::collection::vec(any::<u8>(), 0..2_000)) {
+        let _ = wire::read(FLEET, &bytes);
+        if let Ok(events) = wire::unpack(&bytes) {
+            prop_assert!(events.len() <= bytes.len() / 2);
+        }
+    }
+
+    /// No stamp gets earlier on the way, and none later by a millisecond.
+    #[test]
+    fn packed_events_come_out_whole(events in proptest::collection::vec(event(), 0..200)) {
+        let mut packer = Packer::default();
+        let count = events.iter().take_while(|event| packer.push(event)).count();
+        let bytes = packer.finish();
+        prop_assert!(bytes.len() <= EVENTS_MOST);
+        let read = wire::unpack(&bytes).unwrap();
+        prop_assert_eq!(read.len(), count);
+        for (Event::Purge(told), Event::Purge(read)) in events.iter().zip(&read) {
+            prop_assert_eq!(told.key, read.key);
+            if (-1_i64 << 55..1 << 55).contains(&told.stamp) {
+                prop_assert!((0..MILLISECOND).contains(&(read.stamp - told.stamp)));
+            }
+        }
+    }
+
+    /// Members hear anything, in any order, and go on: no panic, no more answers than are due, and all that they send can
+    /// be read.
+    #[test]
+    fn members_bear_anything(datagrams in proptest::collection::vec((datagram(), 0..400i64), 1..40)) {
+        let network = Network::new(3, 1, 1);
+        for mut member in members(&network) {
+            let mut now = START;
+            let mut out = Vec::new();
+            member.tick(now, &mut out);
+            for (bytes, pause) in &datagrams {
+                out.clear();
+                member.receive(now, bytes, &mut out);
+                let sent = out.iter().filter(|output| matches!(output, Output::Send { .. })).count();
+                prop_assert!(sent <= ANSWERS_MOST, "{sent} answers");
+                now += pause * MILLISECOND;
+                if member.next_wake() <= now {
+                    member.tick(now, &mut out);
+                }
+                check_sent(&out)?;
+            }
+        }
+    }
+
+    /// A network that hears anything beside its own datagrams loses nothing. What names an epoch, a position or a lease of
+    /// its own cannot be told from the real, so only what is no sound message comes.
+    #[test]
+    fn garbled_datagrams_do_no_harm(datagrams in proptest::collection::vec((datagram(), 0..6usize), 0..60)) {
+        let mut network = Network::new(2, 4, 1);
+        network.run(2 * SECOND).unwrap();
+        for (bytes, to) in datagrams {
+            if wire::read(FLEET, &bytes).is_err() {
+                network.deliver(to, &bytes);
+            }
+            network.publish_next();
+            network.run(50 * MILLISECOND).unwrap();
+        }
+        network.run(4 * SECOND).unwrap();
+        prop_assert_eq!(network.settled(), Ok(()));
+    }
+}
+
+fn rejected(counters: &Counters, why: Rejected) -> u64 {
+    counters.rejected[why as usize]
+}
+
+/// A publisher alone that has told ten purges, and a front's heartbeat.
+fn publisher_with_ten() -> (Publisher, LogPosition) {
+    let plan = Network::new(1, 0, 1).plan;
+    let mut publisher = Publisher::new(plan, RelayPlan::default(), identity("relay-0", 0), START, 1);
+    for object in 0..10 {
+        publisher.publish(START, Event::Purge(Purge { key: PurgeKey::Object(object), stamp: START }));
+    }
+    publisher.tick(START, &mut Vec::new());
+    let head = publisher.published();
+    (publisher, head)
+}
+
+fn front_heartbeat(name: &str, request: u32, at: LogPosition) -> Heartbeat {
+    let (name, address) = (name.into(), address(3).to_string());
+    Heartbeat { name, address, incarnation: 1, request, at: Some(at.into()), ..Heartbeat::default() }
+}
+
+fn hear(publisher: &mut Publisher, bytes: &[u8]) -> usize {
+    let mut out = Vec::new();
+    publisher.receive(START, bytes, &mut out);
+    out.len()
+}
+
+#[test]
+fn each_kind_of_bad_datagram_is_counted() {
+    let (mut publisher, head) = publisher_with_ten();
+    let good = |request, at| wire::write(FLEET, Body::Heartbeat(front_heartbeat("front-3", request, at)));
+    let position = |position| LogPosition { position, ..head };
+    let mut garbled = good(1, head);
+    garbled[20] ^= 0x40;
+    let mut unknown_version = good(1, head);
+    unknown_version[2] += 1;
+    let truncated = &good(1, head)[..30];
+    let bad_address = Heartbeat { address: "nowhere".into(), ..front_heartbeat("front-4", 1, head) };
+    let long_name = front_heartbeat(&"n".repeat(65), 1, head);
+    let older = LogPosition { epoch: Epoch(head.epoch.0 - 1), position: 900 };
+    hear(&mut publisher, &good(5, position(7)));
+    let cases: [(&[u8], Rejected); 9] = [
+        (&garbled, Rejected::Envelope),
+        (&unknown_version, Rejected::Envelope),
+        (truncated, Rejected::Envelope),
+        (&wire::write(FLEET + 1, Body::Heartbeat(front_heartbeat("front-3", 6, head))), Rejected::Fleet),
+        (&wire::write(FLEET, Body::Heartbeat(bad_address)), Rejected::Bounds),
+        (&wire::write(FLEET, Body::Heartbeat(long_name)), Rejected::Bounds),
+        (&good(6, position(11)), Rejected::Future),
+        (&good(6, position(3)), Rejected::Backwards),
+        (&good(7, older), Rejected::Backwards),
+    ];
+    for (bytes, why) in cases {
+        let before = rejected(&publisher.status(START).counters, why);
+        hear(&mut publisher, bytes);
+        assert_eq!(rejected(&publisher.status(START).counters, why), before + 1, "{why:?}");
+    }
+    // None of them did any harm to the front that they named.
+    let mut out = Vec::new();
+    publisher.receive(START, &good(8, head), &mut out);
+    publisher.tick(START + SECOND, &mut out);
+    let has_lease =
+        |body| matches!(body, Body::Batch(Batch { grant: Some(grant), .. }) if grant.lease_us > 0);
+    let granted = out.iter().any(|output| match output {
+        Output::Send { bytes, .. } => wire::read(FLEET, bytes).is_ok_and(has_lease),
+        _ => false,
+    });
+    assert!(granted);
+}
+
+#[test]
+fn an_older_epoch_is_dropped_by_those_that_follow() {
+    let mut network = Network::new(2, 1, 1);
+    network.run(3 * SECOND).unwrap();
+    let at = network.subscriber(2).and_then(Subscriber::position).unwrap();
+    let older = Batch { epoch: at.epoch.0 - 1, first: 0, head: 0, ..Batch::default() };
+    network.deliver(2, &wire::write(FLEET, Body::Batch(older)));
+    let part =
+        SnapshotPart { at: Some(Place { epoch: at.epoch.0 - 1, position: 50 }), ..SnapshotPart::default() };
+    network.deliver(2, &wire::write(FLEET, Body::SnapshotPart(part)));
+    let status = network.subscriber(2).unwrap().status(network.now);
+    assert_eq!(rejected(&status.counters, Rejected::OldEpoch), 2);
+    assert_eq!(status.at, Some(at));
+}
+
+/// Beyond its bound a member takes no names, and those that it has stay.
+#[test]
+fn a_hundred_thousand_names_are_refused() {
+    let (mut publisher, head) = publisher_with_ten();
+    let most = RelayPlan::default().subscribers_most;
+    let mut now = START;
+    let mut answers = 0;
+    for n in 0..100_000u32 {
+        now += SECOND / 10_000;
+        let heartbeat = front_heartbeat(&format!("front-{n}"), 1, head);
+        let mut out = Vec::new();
+        publisher.receive(now, &wire::write(FLEET, Body::Heartbeat(heartbeat)), &mut out);
+        assert!(out.len() <= 1);
+        answers += out.len();
+        if n % 1_000 == 0 {
+            assert!(publisher.status(now).subscribers <= most);
+        }
+    }
+    let counters = publisher.status(now).counters;
+    assert_eq!(publisher.status(now).subscribers, most);
+    assert_eq!(counters.busy, 100_000 - most as u64);
+    assert_eq!(answers as u64, counters.busy);
+    // Those before them were told to come later, as more came in a second than are taken.
+    assert!(rejected(&counters, Rejected::Full) > 85_000, "{counters:?}");
+}
