The test of a stopped front waits for the front's own lease to be over

Change: it waits until a relay names the front as one whose lease is over. A program that ends before it listens is shown with what it said.

--- a/crates/front/tests/events.rs
+++ b/crates/front/tests/events.rs
@@ -216,12 +216,12 @@
     let mut front = site.leased_front("n1");
     assert_eq!(front.oldest(OBJECT), None);
     front.program.pause();
-    until(HANG, "no lease is held at any relay", || {
-        (0..relays.len()).all(|n| {
-            let fed = events(&site.socket(&format!("r{n}")));
-            // The other relay is a subscriber of the publisher.
-            fed["leased"] == if n == PUBLISHER { 1 } else { 0 }
-        })
+    until(HANG, "the relay that fed it says that its lease is over, and no other has granted one", || {
+        let fed: Vec<Value> = (0..relays.len()).map(|n| events(&site.socket(&format!("r{n}")))).collect();
+        let over = |late: &Value| late["name"] == "n1" && late["lease_left_us"].is_null();
+        let is_late = |fed: &Value| fed["late"].as_array().is_some_and(|late| late.iter().any(over));
+        // The second relay holds a lease of the publisher.
+        fed[PUBLISHER]["leased"] == 1 && fed[1]["leased"] == 0 && fed.iter().any(is_late)
     });
     // None answers before the front has been asked.
     relays.iter().for_each(Program::pause);
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -175,10 +175,11 @@
     pub fn begun(command: &mut Command, path: tempfile::TempPath) -> Program {
         let mut child = command.spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
+        let (mut before, mut line) = (String::new(), String::new());
         while !line.contains("listening") {
+            before.push_str(&line);
             line.clear();
-            assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened");
+            assert!(log.read_line(&mut line).unwrap() > 0, "ended before it listened: {before}");
         }
         // The line is text or JSON.
         let json: Option<Value> = serde_json::from_str(&line).ok();
