Kinds and keys are plain types below both the encodings and the map

kinds.rs needed the map's Key and Entry, map.rs needed the Kind and Tree of kinds.rs. Kind and Tree are now in kind.rs, Key and Entry with their form on the wire in record.rs; kinds.rs and map.rs build on both and not on each other. The paths that other crates use stay, as re-exports.

--- a/crates/replica/src/kinds.rs
+++ b/crates/replica/src/kinds.rs
@@ -1,83 +1,14 @@
-//! What is replicated: each kind with how its records are ranked, which is its rule for copies that differ.
+//! How the records of each kind are encoded and ranked. The rank is the kind's rule for copies that differ.
 
-use crate::map::{Entry, Key};
+use crate::record::{Entry, Key};
 use crate::Micros;
 use prost::Message;
 
-/// Numbers are those of the wire. A build that does not know one merges by rank, passes on and drops when over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Kind {
-    Purge = 1,
-    Machine = 2,
-    Effect = 3,
-    Learned = 16,
-    Usage = 17,
-}
-
-impl Kind {
-    pub const ALL: [Kind; 5] = [Kind::Purge, Kind::Machine, Kind::Effect, Kind::Learned, Kind::Usage];
-
-    pub fn of(number: u32) -> Option<Kind> {
-        Kind::ALL.into_iter().find(|kind| *kind as u32 == number)
-    }
-
-    pub fn name(self) -> &'static str {
-        match self {
-            Kind::Purge => "purge",
-            Kind::Machine => "machine",
-            Kind::Effect => "effect",
-            Kind::Learned => "learned",
-            Kind::Usage => "usage",
-        }
-    }
-}
-
-/// Kinds that are compared together: by how much it matters that they are the same soon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Tree {
-    Urgent = 0,
-    Effects = 1,
-    Rest = 2,
-}
+pub use crate::kind::{Kind, Tree};
 
-pub const TREES: usize = 3;
-/// Kinds below this one are urgent, whoever knows them.
-const URGENT_BELOW: u32 = 16;
-
-impl Tree {
-    pub const ALL: [Tree; TREES] = [Tree::Urgent, Tree::Effects, Tree::Rest];
-
-    pub fn of(kind: u32) -> Tree {
-        match kind {
-            _ if kind == Kind::Effect as u32 => Tree::Effects,
-            _ if kind < URGENT_BELOW => Tree::Urgent,
-            _ => Tree::Rest,
-        }
-    }
+// Purges: the latest stamp stands. A purge is never taken back.
 
-    pub fn number(number: u32) -> Option<Tree> {
-        Tree::ALL.get(number as usize).copied()
-    }
-
-    /// Numbers of its kinds, from and to before.
-    pub fn kinds(self) -> &'static [(u32, u32)] {
-        const EFFECT: u32 = Kind::Effect as u32;
-        match self {
-            Tree::Urgent => &[(0, EFFECT), (EFFECT + 1, URGENT_BELOW)],
-            Tree::Effects => &[(EFFECT, EFFECT + 1)],
-            Tree::Rest => &[(URGENT_BELOW, u32::MAX)],
-        }
-    }
-
-    /// News of it is pushed on at once.
-    pub fn pushed(self) -> bool {
-        self != Tree::Rest
-    }
-}
-
-// Purges: the latest stamp stands. What was told is never untold.
-
-/// `object` or a whole group; stamps are Unix time in microseconds.
+/// The record of a purge of one object, or of a whole group where there is none; `stamp` is Unix time in microseconds.
 pub fn purge(object: Option<u64>, group: u32, stamp: Micros, keep: Micros) -> (Key, Entry) {
     let name = match object {
         Some(object) => [&[b'o'][..], &object.to_be_bytes()].concat(),
@@ -87,7 +18,7 @@
     (Key::new(Kind::Purge, name), entry)
 }
 
-/// Object or group, and stamp.
+/// Reads a purge: the object or the group, and the stamp.
 pub fn read_purge(key: &Key, entry: &Entry) -> Option<(Option<u64>, u32, Micros)> {
     let (letter, rest) = key.name.split_first()?;
     let stamp = entry.rank.0 as Micros;
@@ -98,8 +29,9 @@
     }
 }
 
-// The list of caches: of one start the phase only moves on, a later start stands over all of the former.
+// Machines (caches): within one start the phase only advances; a later start stands over all earlier ones.
 
+/// What is known of a cache beside its phase.
 #[derive(Clone, PartialEq, Message)]
 pub struct Machine {
     #[prost(string, tag = "1")]
@@ -114,25 +46,26 @@
     pub size: f64,
 }
 
-/// How far a machine has come: 0 ready, 1 draining, 2 gone. `start` is that of its process by the list, Unix time.
+/// The record of a machine's phase: 0 ready, 1 draining, 2 gone. `start` is when its process started, in Unix time, as
+/// the journal service has it.
 pub fn machine(id: &str, start: Micros, phase: u8, machine: &Machine, until: Micros) -> (Key, Entry) {
     let rank = (start.max(0) as u64, u64::from(phase));
     (Key::new(Kind::Machine, id), Entry { rank, value: machine.encode_to_vec(), until })
 }
 
-/// Id, start, phase and what else is known of it.
+/// Reads a machine: id, start, phase and what else is known of it.
 pub fn read_machine(key: &Key, entry: &Entry) -> Option<(String, Micros, u8, Machine)> {
     let id = String::from_utf8(key.name.clone()).ok()?;
     let machine = Machine::decode(entry.value.as_slice()).ok()?;
     Some((id, entry.rank.0 as Micros, entry.rank.1.min(2) as u8, machine))
 }
 
-// Effects: each claim has one writer; its state only moves on. What a key's claims say together is in `ledger`.
+// Effects: each claim has one writer, and its state only advances. `ledger` decides what a key's claims say together.
 
-/// The states of one claim, in the order in which a later stands over an earlier.
+/// The state of one claim. A later state stands over an earlier one; the numbers are those of the wire format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Ran {
-    /// Asked for; no send was made before others agreed, but they can't know when.
+    /// Requested. Nothing is sent before a quorum has granted it, but other fronts can't tell when that happens.
     Asked = 0,
     /// A send may be out, or was and nobody knows how it ended.
     May = 1,
@@ -145,12 +78,15 @@
 }
 
 impl Ran {
+    /// All states, by their numbers.
     pub const ALL: [Ran; 5] = [Ran::Asked, Ran::May, Ran::Not, Ran::Lost, Ran::Done];
 
+    /// The state with this number on the wire.
     pub fn of(number: u64) -> Option<Ran> {
         Ran::ALL.get(number as usize).copied()
     }
 
+    /// The name in reports.
     pub fn name(self) -> &'static str {
         match self {
             Ran::Asked => "asked",
@@ -161,15 +97,16 @@
         }
     }
 
-    /// The claim still is, or may be, in the way of another.
+    /// Whether the claim has not ended, so that it may conflict with another.
     pub fn open(self) -> bool {
         self <= Ran::May
     }
 }
 
+/// A front's claim to the effect of one key.
 #[derive(Clone, PartialEq, Message)]
 pub struct Claim {
-    /// Whose it is, by its name and start.
+    /// The name and the start of the front that holds it.
     #[prost(string, tag = "1")]
     pub holder: String,
     #[prost(uint64, tag = "2")]
@@ -177,32 +114,37 @@
     /// When the first send of this key may have left, by any claim: the origin drops repeats from then on.
     #[prost(uint64, tag = "3")]
     pub first: u64,
-    /// When its holder's client is owed an answer at the latest: by then its outcome is known or lost.
+    /// The deadline of its holder's client: by then its outcome is known or lost.
     #[prost(uint64, tag = "4")]
     pub ends: u64,
-    /// The answer's body; none where it was too long to keep.
+    /// The body of the answer; none where it was too long to keep.
     #[prost(bytes = "vec", optional, tag = "5")]
     pub body: Option<Vec<u8>>,
+    /// Whether the answer was current.
     #[prost(bool, tag = "6")]
     pub current: bool,
 }
 
-/// Claims of a key stand side by side: by the key, then by holder and number.
+/// Longest part of a key that goes into a record's name as it is.
+pub const EFFECT_KEY: usize = 80;
+/// Bytes of the hash that stands for the end of a longer key.
+const KEY_HASH: usize = 16;
+
+/// The beginning of the names of all claims to a key: they are adjacent in the map, ordered by holder and number.
 pub fn effect_prefix(key: &[u8]) -> Vec<u8> {
-    // A length in front keeps a key from being the beginning of another.
+    // The length in front keeps one key from being the prefix of another.
     let mut name = vec![key.len().min(EFFECT_KEY) as u8];
     if key.len() <= EFFECT_KEY {
         name.extend(key);
     } else {
-        // Clients' are 32 digits; of longer ones a hash stands for the rest.
-        name.extend(&key[..EFFECT_KEY - 16]);
+        // Clients use 32 digits.
+        name.extend(&key[..EFFECT_KEY - KEY_HASH]);
         name.extend(xxhash_rust::xxh3::xxh3_128(key).to_be_bytes());
     }
     name
 }
 
-pub const EFFECT_KEY: usize = 80;
-
+/// The record of a claim; `id` is its holder's hash and its number there.
 pub fn effect(key: &[u8], id: (u64, u64), ran: Ran, claim: &Claim, until: Micros) -> (Key, Entry) {
     let mut name = effect_prefix(key);
     name.extend(id.0.to_be_bytes());
@@ -211,17 +153,25 @@
     (Key::new(Kind::Effect, name), entry)
 }
 
+/// Reads a claim and its state.
 pub fn read_effect(entry: &Entry) -> Option<(Ran, Claim)> {
     Some((Ran::of(entry.rank.0)?, Claim::decode(entry.value.as_slice()).ok()?))
 }
 
-// What was learned and used: one writer each, by its start; a later version stands.
+// Observations and usage: each record has one writer; its later start, then its later version, stands.
+
+/// Longest subject and writer in the name of an observation, and the largest length that one byte tells.
+const SUBJECT_MOST: usize = EFFECT_KEY;
+const WRITER_MOST: usize = 40;
+const LENGTH_MOST: usize = 255;
 
-/// What one front says of a thing: numbers, whose meaning the thing's letter tells.
+/// What one front observed of a subject. What the numbers mean depends on the kind of subject.
 #[derive(Clone, PartialEq, Message)]
 pub struct Sight {
+    /// The name of the front.
     #[prost(string, tag = "1")]
     pub writer: String,
+    /// The zone of the front.
     #[prost(string, tag = "2")]
     pub zone: String,
     #[prost(double, repeated, tag = "3")]
@@ -231,19 +181,19 @@
     pub at: u64,
 }
 
-/// `what` begins with a letter: `l` the length of an object, `m` a machine. Sights of one thing stand side by side.
+/// The record of an observation by `sight.writer`, whose process started at `start`.
 pub fn sight(kind: Kind, what: &[u8], start: u64, sight: &Sight, until: Micros) -> (Key, Entry) {
-    let mut name = vec![what.len().min(255) as u8];
-    name.extend(&what[..what.len().min(EFFECT_KEY)]);
-    name.extend(sight.writer.bytes().take(40));
+    let mut name = sight_prefix(what);
+    name.extend(sight.writer.bytes().take(WRITER_MOST));
     (Key::new(kind, name), Entry { rank: (start, sight.at), value: sight.encode_to_vec(), until })
 }
 
+/// The beginning of the names of all observations of one subject: they are adjacent in the map.
 pub fn sight_prefix(what: &[u8]) -> Vec<u8> {
-    [&[what.len().min(255) as u8][..], &what[..what.len().min(EFFECT_KEY)]].concat()
+    [&[what.len().min(LENGTH_MOST) as u8][..], &what[..what.len().min(SUBJECT_MOST)]].concat()
 }
 
-/// What it is about, and what was seen.
+/// Reads an observation: its subject, and what was observed.
 pub fn read_sight(key: &Key, entry: &Entry) -> Option<(Vec<u8>, Sight)> {
     let (length, rest) = key.name.split_first()?;
     let what = rest.get(..usize::from(*length))?.to_vec();
--- a/crates/replica/src/ledger.rs
+++ b/crates/replica/src/ledger.rs
@@ -10,15 +10,19 @@
 //! other owners of it, whatever became of them (see `replica`). Owners that take others to own the key than the asker does refuse, so that a view which is late
 //! decides nothing.
 
-use crate::kinds::{self, Claim, Kind, Ran};
-use crate::map::{Key, Map, Took};
+use crate::kind::Kind;
+use crate::kinds::{self, Claim, Ran};
+use crate::map::{Map, Took};
 use crate::mutant;
 use crate::plan::{self, Unwritten};
+use crate::record::Key;
 use crate::wire::{Ask, Record, Reply};
 use crate::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+pub use crate::record::entry;
+
 /// Asked again after so much of the time that writing may take, where no answer came.
 const AGAIN: Micros = 5;
 const AGAIN_LEAST: Micros = 10_000;
@@ -567,7 +571,7 @@
         let Some(record) = ask.claim.clone().filter(|r| r.kind == Kind::Effect as u32) else {
             return (Verdict::Differs, Vec::new());
         };
-        let key = Key { kind: record.kind, name: record.name.clone() };
+        let key = Key::of(&record);
         let prefix_length = key.name.first().map_or(0, |n| usize::from(*n) + 1).min(key.name.len());
         let prefix = key.name[..prefix_length].to_vec();
         if !mutant("any-owner") && on.electors.owners(&prefix, self.plan.copies) != ask.owners {
@@ -624,14 +628,9 @@
     }
 }
 
-pub fn entry(record: &Record) -> crate::map::Entry {
-    let until = Micros::try_from(record.until).unwrap_or(Micros::MAX);
-    crate::map::Entry { rank: (record.high, record.low), value: record.value.clone(), until }
-}
-
 /// A record that another holds.
 fn take(record: Record, on: &mut Ground, out: &mut Out) {
-    let key = Key { kind: record.kind, name: record.name.clone() };
+    let key = Key::of(&record);
     if matches!(on.map.merge(key.clone(), entry(&record), on.now), Took::New(_)) {
         out.changed.push(key);
     }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -4,7 +4,8 @@
 //! compared with one other front a period, by digests of buckets, then hashes, then what is missing. One that starts
 //! asks the two nearest for all they hold, urgent kinds first, and goes on at another where one of them dies.
 
-use crate::kinds::{self, Kind, Ran, Tree, TREES};
+use crate::kind::{Kind, Tree, TREES};
+use crate::kinds::{self, Ran};
 use crate::ledger::{self, Electors, End, Ground, Ledger, Out, Terms, Word};
 use crate::map::{hash, Key, Map, Room, Took};
 use crate::opinion;
--- a/crates/replica/src/snapshot.rs
+++ b/crates/replica/src/snapshot.rs
@@ -1,8 +1,8 @@
 //! What is held as one file: written aside and moved into place by the host, and taken in whole or not at all.
 
-use crate::kinds::Kind;
-use crate::ledger::entry;
-use crate::map::{Key, Map, Took};
+use crate::kind::Kind;
+use crate::map::{Map, Took};
+use crate::record::{entry, record, Key};
 use crate::wire::Record;
 use crate::Micros;
 use meadowrill_members::envelope::{self, Dropped};
@@ -57,7 +57,7 @@
 
 /// Claims that are open are left out by none: what may have run must not be forgotten.
 pub fn write(map: &Map, fleet: u64, now: Micros) -> Vec<u8> {
-    let records: Vec<Record> = map.iter().map(|(key, entry)| crate::map::record(key, entry)).collect();
+    let records: Vec<Record> = map.iter().map(|(key, entry)| record(key, entry)).collect();
     let parts: Vec<&[Record]> = if records.is_empty() { vec![&[]] } else { records.chunks(PART).collect() };
     let (mut whole, mut bytes) = (Vec::new(), Vec::new());
     for (number, records) in (0..).zip(&parts) {
@@ -112,7 +112,7 @@
     for record in parts.into_iter().flat_map(|p| p.records) {
         // Sights of before a restart say little of now; all else holds till it is over.
         let learned = [Kind::Learned, Kind::Usage].into_iter().any(|kind| kind as u32 == record.kind);
-        let key = Key { kind: record.kind, name: record.name.clone() };
+        let key = Key::of(&record);
         if !learned {
             many += usize::from(matches!(map.merge(key, entry(&record), now), Took::New(_)));
         }
