--- a/crates/front/src/report/shared.rs
+++ b/crates/front/src/report/shared.rs
@@ -131,7 +131,7 @@
     let one = |n: u64| vec![(Vec::new(), n)];
     let label = |key: &str, value: &str| -> Labels { vec![(key.to_string(), value.to_string())] };
     let by_kind = |of: &BTreeMap<u32, u64>| of.iter().map(|(k, n)| (label("kind", &kind(*k)), *n)).collect();
-    let spent = counts.spent.iter().map(|(what, n)| (label("for", what), *n)).collect();
+    let spent = counts.spent.iter().map(|(what, n)| (label("for", what.name()), *n)).collect();
     let dropped = counts.dropped.iter().map(|(why, n)| (label("why", why.name()), *n)).collect();
     let differed = vec![(label("stands", "others"), counts.won), (label("stands", "own"), counts.lost)];
     let ledger = replica.ledger().map(|ledger| ledger.counts.clone()).unwrap_or_default();
--- /dev/null
+++ b/crates/replica/src/replica/budget.rs
@@ -0,0 +1,55 @@
+//! Bounds on the bytes that are sent: token buckets.
+
+use crate::{Micros, SEC};
+
+/// Seconds' worth of bytes that messages may send at once, and may be in debt.
+const MESSAGE_BURST_S: f64 = 1.0;
+/// Seconds' worth of bytes that may be sent at once to fronts that catch up.
+const CATCH_UP_BURST_S: f64 = 0.02;
+
+/// A token bucket in bytes that can go into debt: a message is sent whole once there are any tokens.
+#[derive(Clone, Debug)]
+pub(super) struct TokenBucket {
+    bytes_per_s: f64,
+    capacity: f64,
+    /// The debt goes no further than this.
+    lowest: f64,
+    available: f64,
+    refilled_at: Micros,
+}
+
+impl TokenBucket {
+    /// For messages in ordinary operation.
+    pub(super) fn for_messages(bytes_per_s: u64, now: Micros) -> TokenBucket {
+        let capacity = bytes_per_s as f64 * MESSAGE_BURST_S;
+        TokenBucket::full(bytes_per_s, capacity, -capacity, now)
+    }
+
+    /// For the records handed to fronts that catch up: no debt is forgiven.
+    pub(super) fn for_catch_up(bytes_per_s: u64, now: Micros) -> TokenBucket {
+        let capacity = bytes_per_s as f64 * CATCH_UP_BURST_S;
+        TokenBucket::full(bytes_per_s, capacity, f64::NEG_INFINITY, now)
+    }
+
+    fn full(bytes_per_s: u64, capacity: f64, lowest: f64, now: Micros) -> TokenBucket {
+        let bytes_per_s = bytes_per_s as f64;
+        TokenBucket { bytes_per_s, capacity, lowest, available: capacity, refilled_at: now }
+    }
+
+    /// Adds the tokens of the time that has passed.
+    pub(super) fn refill(&mut self, now: Micros) {
+        let seconds = (now - self.refilled_at).max(0) as f64 / SEC as f64;
+        self.available = (self.available + seconds * self.bytes_per_s).min(self.capacity);
+        self.refilled_at = now;
+    }
+
+    /// Takes tokens for bytes that are sent.
+    pub(super) fn spend(&mut self, bytes: usize) {
+        self.available = (self.available - bytes as f64).max(self.lowest);
+    }
+
+    /// Whether anything may be sent.
+    pub(super) fn has_tokens(&self) -> bool {
+        self.available > 0.0
+    }
+}
--- /dev/null
+++ b/crates/replica/src/replica/donor.rs
@@ -0,0 +1,92 @@
+//! The donor's side of catching up: hands records to fronts that start, within a budget of its own.
+
+use super::budget::TokenBucket;
+use super::send::encoded_size;
+use super::{Act, Replica};
+use crate::kind::Tree;
+use crate::record::Key;
+use crate::wire::{CatchUp, Part, Said};
+use crate::Micros;
+use std::collections::VecDeque;
+
+/// Requests that wait for budget.
+const REQUESTS_MOST: usize = 8;
+/// Bytes of records in one answer: lookups wait while it is packed.
+const PAGE_BYTES: usize = 6 * 1024;
+
+/// Requests of fronts that catch up, and the budget for answers.
+#[derive(Clone, Debug)]
+pub(super) struct Donor {
+    pending: VecDeque<PendingRequest>,
+    budget: TokenBucket,
+}
+
+#[derive(Clone, Debug)]
+struct PendingRequest {
+    from: String,
+    request: CatchUp,
+}
+
+impl Donor {
+    pub(super) fn new(bytes_per_s: u64, now: Micros) -> Donor {
+        Donor { pending: VecDeque::new(), budget: TokenBucket::for_catch_up(bytes_per_s, now) }
+    }
+
+    /// Whether requests wait for budget.
+    pub(super) fn has_requests(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Adds the budget of the time that has passed.
+    pub(super) fn refill(&mut self, now: Micros) {
+        self.budget.refill(now);
+    }
+
+    /// Takes what an answer cost from the budget.
+    pub(super) fn spend(&mut self, bytes: usize) {
+        self.budget.spend(bytes);
+    }
+
+    /// Adds a request. A later one of the same front for the same tree replaces the earlier.
+    fn add(&mut self, from: String, request: CatchUp) {
+        self.pending.retain(|pending| pending.from != from || pending.request.tree != request.tree);
+        if self.pending.len() < REQUESTS_MOST {
+            self.pending.push_back(PendingRequest { from, request });
+        }
+    }
+}
+
+impl Replica {
+    /// A front that catches up requests records.
+    pub(super) fn receive_catch_up_request(&mut self, from: String, request: CatchUp, acts: &mut Vec<Act>) {
+        self.refill_budgets();
+        self.donor.add(from, request);
+        self.serve_catch_up_requests(acts);
+    }
+
+    /// Answers requests as far as the budget goes.
+    pub(super) fn serve_catch_up_requests(&mut self, acts: &mut Vec<Act>) {
+        while self.donor.budget.has_tokens() {
+            let Some(PendingRequest { from, request }) = self.donor.pending.pop_front() else { return };
+            let Some(tree) = Tree::number(request.tree) else { continue };
+            let after = (!request.first).then_some(Key { kind: request.kind, name: request.name });
+            let page = self.page(tree, after.as_ref());
+            self.send(&from, Said::Part(page), acts);
+        }
+    }
+
+    /// The records of a tree that follow a key, as many as fit into one answer.
+    fn page(&self, tree: Tree, after: Option<&Key>) -> Part {
+        let mut page = Part { tree: tree as u32, records: Vec::new(), last: true };
+        let mut size = 0;
+        for record in self.map.from(tree, after) {
+            if size > PAGE_BYTES {
+                page.last = false;
+                break;
+            }
+            size += encoded_size(&record);
+            page.records.push(record);
+        }
+        page
+    }
+}
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -51,19 +51,53 @@
     Reply(Reply),
 }
 
+/// The kinds of message, in the order of their labels.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum MessageKind {
+    Ask,
+    Buckets,
+    CatchUp,
+    Delta,
+    Items,
+    News,
+    Part,
+    Reply,
+    Roots,
+    Want,
+}
+
+impl MessageKind {
+    /// The label in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            MessageKind::Ask => "ask",
+            MessageKind::Buckets => "buckets",
+            MessageKind::CatchUp => "catch_up",
+            MessageKind::Delta => "delta",
+            MessageKind::Items => "items",
+            MessageKind::News => "news",
+            MessageKind::Part => "part",
+            MessageKind::Reply => "reply",
+            MessageKind::Roots => "roots",
+            MessageKind::Want => "want",
+        }
+    }
+}
+
 impl Said {
-    pub fn name(&self) -> &'static str {
+    /// What kind of message this is.
+    pub fn kind(&self) -> MessageKind {
         match self {
-            Said::News(_) => "news",
-            Said::Delta(_) => "delta",
-            Said::Roots(_) => "roots",
-            Said::Buckets(_) => "buckets",
-            Said::Items(_) => "items",
-            Said::Want(_) => "want",
-            Said::CatchUp(_) => "catch_up",
-            Said::Part(_) => "part",
-            Said::Ask(_) => "ask",
-            Said::Reply(_) => "reply",
+            Said::News(_) => MessageKind::News,
+            Said::Delta(_) => MessageKind::Delta,
+            Said::Roots(_) => MessageKind::Roots,
+            Said::Buckets(_) => MessageKind::Buckets,
+            Said::Items(_) => MessageKind::Items,
+            Said::Want(_) => MessageKind::Want,
+            Said::CatchUp(_) => MessageKind::CatchUp,
+            Said::Part(_) => MessageKind::Part,
+            Said::Ask(_) => MessageKind::Ask,
+            Said::Reply(_) => MessageKind::Reply,
         }
     }
 }
