--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,6 +1,9 @@
-//! State that the fronts share, and how copies that differ become one: purges, the list of caches, effects that may
-//! have run, what was learned, usage at the door. Bytes and events in, bytes and events out; no I/O, no clock, chance
-//! by seed (docs/replication.md).
+//! State that the fronts share, and how copies that differ converge: purges, the phases of caches, effects that may have
+//! run, observations, usage by tenant. A pure state machine: messages and events go in, messages and actions come out; it
+//! does no I/O, reads no clock and draws random numbers by a seed (docs/replication.md).
+//!
+//! From the bottom up: `wire`, `kind` and `record` are plain types; `kinds` encodes the records of each kind; `map` holds
+//! and merges records; `snapshot`, `opinion` and `ledger` work on a map; `replica` joins all of it into one front's copy.
 
 pub mod kind;
 pub mod kinds;
--- a/crates/replica/src/plan.rs
+++ b/crates/replica/src/plan.rs
@@ -1,61 +1,73 @@
-//! What an installation sets of the shared state, with the bounds of each.
+//! What an installation configures of the shared state, with the bounds of each setting.
 
 use crate::{Micros, SEC};
 
+/// One second.
 pub const SECOND: Micros = SEC;
 
-/// The key that is at fault, below `fleet.replica`, and why.
+/// A setting that is out of bounds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Faulty {
+    /// Its key, below `fleet.replica`.
     pub key: &'static str,
+    /// What is wrong with it.
     pub what: String,
 }
 
-/// What is done with a keyed lookup whose claim could not be written to enough fronts.
+/// What is done with a keyed lookup whose claim no quorum granted in time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Unwritten {
-    /// As without a ledger: it is sent, and may run a second time elsewhere.
+    /// It is sent as without a ledger, and may run a second time elsewhere.
     Serve,
-    /// It is refused, which tells the client truly that nothing ran.
+    /// It is refused: the client learns that nothing ran.
     #[default]
     Refuse,
 }
 
+/// The settings of the shared state.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Plan {
-    /// Hash of the fleet's name, as the view has it.
+    /// Hash of the fleet's name, as the membership view has it.
     pub fleet: u64,
+    /// This front's zone.
     pub zone: String,
-    /// Between two comparisons with one other front.
+    /// Time between two comparisons with another front.
     pub period: Micros,
-    /// Sent to other fronts in calm, and while one that starts is handed what it lacks.
+    /// Budget for messages in ordinary operation.
     pub bytes_per_s: u64,
+    /// Budget for the records handed to fronts that catch up.
     pub catch_up_bytes_per_s: u64,
-    /// Of each kind.
+    /// Most records of each kind.
     pub entries: usize,
+    /// Most bytes of names and values of each kind.
     pub bytes: usize,
-    /// How long a purge may linger somewhere, and is remembered.
+    /// How long a purge is remembered: as long as an older copy may linger somewhere.
     pub purge_keep: Micros,
+    /// How long a machine is remembered, at least.
     pub machine_keep: Micros,
+    /// How long observations and usage are remembered.
     pub learned_keep: Micros,
-    /// One that starts says that it is ready after so long, though it has not caught up.
+    /// A front reports that it is ready this long after its start, although it has not caught up.
     pub ready_after: Micros,
-    /// None: lookups are not asked about.
+    /// None: keyed lookups are sent like any other.
     pub ledger: Option<Ledger>,
 }
 
+/// The settings of the ledger of effects.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ledger {
-    /// Fronts that decide on a key; more than half of them have to agree.
+    /// Owners of a key; more than half of them have to grant a claim.
     pub copies: usize,
-    /// Part of a lookup's latency budget that writing them may take.
+    /// Part of a lookup's latency budget that having its claim granted may take.
     pub write_part: f64,
+    /// What is done where that took too long.
     pub unwritten: Unwritten,
-    /// How long a key is remembered.
+    /// How long a claim is remembered.
     pub keep: Micros,
-    /// Fronts that have to be known before any claim goes through: guards against one that is alone and does not know.
+    /// Fronts that have to be known before any claim is granted: guards against a front that is cut off and does not know
+    /// it.
     pub fronts_least: usize,
-    /// Bytes of an answer that are kept for a second try; of a longer one only that it ran.
+    /// Longest answer that is kept for a retry; of a longer one only that it ran.
     pub body_most: usize,
 }
 
@@ -92,6 +104,7 @@
 }
 
 impl Plan {
+    /// Whether all settings are within their bounds.
     pub fn check(&self) -> Result<(), Faulty> {
         let within = |key, value: f64, least: f64, most: f64| {
             let good = (least..=most).contains(&value);
--- a/crates/replica/src/replica/anti_entropy.rs
+++ b/crates/replica/src/replica/anti_entropy.rs
@@ -5,7 +5,7 @@
 use super::{Act, Replica};
 use crate::kind::Tree;
 use crate::map::BUCKETS;
-use crate::wire::{Buckets, Delta, Items, Record, Records, Roots, Said, Want};
+use crate::wire::{BucketDigests, BucketHashes, Delta, Record, RecordRequest, Records, Roots, Said};
 use std::collections::BTreeSet;
 
 /// Hashes in one message.
@@ -54,12 +54,12 @@
 
     /// Begins a comparison of one tree with another front.
     pub(super) fn send_bucket_digests(&mut self, to: &str, tree: Tree, acts: &mut Vec<Act>) {
-        let digests = Buckets { tree: tree as u32, digests: self.map.digests(tree) };
+        let digests = BucketDigests { tree: tree as u32, digests: self.map.digests(tree) };
         self.send(to, Said::Buckets(digests), acts);
     }
 
     /// Answers with the hashes in the buckets that differ.
-    pub(super) fn receive_bucket_digests(&mut self, from: &str, theirs: &Buckets, acts: &mut Vec<Act>) {
+    pub(super) fn receive_bucket_digests(&mut self, from: &str, theirs: &BucketDigests, acts: &mut Vec<Act>) {
         let Some(tree) = Tree::number(theirs.tree) else { return };
         let differing = self.map.differing(tree, &theirs.digests);
         let mut hashes = self.bucket_hashes(tree, differing);
@@ -71,10 +71,10 @@
     }
 
     /// The hashes in these buckets, as many as fit into a message, beginning at a random bucket.
-    fn bucket_hashes(&mut self, tree: Tree, mut differing: Vec<usize>) -> Items {
+    fn bucket_hashes(&mut self, tree: Tree, mut differing: Vec<usize>) -> BucketHashes {
         let first = self.rng.usize(0..BUCKETS);
         differing.sort_by_key(|bucket| (bucket + BUCKETS - first) % BUCKETS);
-        let mut message = Items { tree: tree as u32, ..Items::default() };
+        let mut message = BucketHashes { tree: tree as u32, ..BucketHashes::default() };
         for bucket in &differing {
             let hashes: Vec<u64> = self.map.hashes_in(tree, *bucket).collect();
             if message.hashes.len() + hashes.len() > HASHES_MOST && !message.buckets.is_empty() {
@@ -88,7 +88,7 @@
     }
 
     /// Sends what the other lacks, and requests what this front lacks.
-    pub(super) fn receive_bucket_hashes(&mut self, from: &str, theirs: Items, acts: &mut Vec<Act>) {
+    pub(super) fn receive_bucket_hashes(&mut self, from: &str, theirs: BucketHashes, acts: &mut Vec<Act>) {
         let Some(tree) = Tree::number(theirs.tree) else { return };
         let held_there: BTreeSet<u64> = theirs.hashes.iter().copied().collect();
         let missing: BTreeSet<u64> = held_there.iter().copied().filter(|hash| !self.map.has(*hash)).collect();
@@ -98,7 +98,7 @@
             self.continue_vouching(from, theirs, &missing);
         }
         if !missing.is_empty() {
-            self.send(from, Said::Want(Want { hashes: missing.into_iter().collect() }), acts);
+            self.send(from, Said::Want(RecordRequest { hashes: missing.into_iter().collect() }), acts);
         }
     }
 
@@ -110,7 +110,12 @@
     }
 
     /// Sends the records that were requested, and the hashes of those that are no longer held.
-    pub(super) fn receive_record_request(&mut self, from: &str, request: &Want, acts: &mut Vec<Act>) {
+    pub(super) fn receive_record_request(
+        &mut self,
+        from: &str,
+        request: &RecordRequest,
+        acts: &mut Vec<Act>,
+    ) {
         let (mut records, mut gone, mut size) = (Vec::new(), Vec::new(), 0);
         for hash in &request.hashes {
             match self.map.by_hash(*hash) {
--- a/crates/replica/src/replica/catch_up.rs
+++ b/crates/replica/src/replica/catch_up.rs
@@ -5,7 +5,7 @@
 use super::{Act, Replica, Told, STALLED};
 use crate::kind::{Tree, TREES};
 use crate::record::Key;
-use crate::wire::{CatchUp, Part, Said};
+use crate::wire::{CatchUpPage, CatchUpRequest, Said};
 use crate::Micros;
 use std::collections::BTreeSet;
 
@@ -148,11 +148,11 @@
     fn request_page(&mut self, donor: &str, tree: Tree, after: Option<Key>, acts: &mut Vec<Act>) {
         let first = after.is_none();
         let Key { kind, name } = after.unwrap_or(Key { kind: 0, name: Vec::new() });
-        self.send(donor, Said::CatchUp(CatchUp { tree: tree as u32, first, kind, name }), acts);
+        self.send(donor, Said::CatchUp(CatchUpRequest { tree: tree as u32, first, kind, name }), acts);
     }
 
     /// A donor sent records.
-    pub(super) fn receive_page(&mut self, from: &str, page: Part, acts: &mut Vec<Act>) {
+    pub(super) fn receive_page(&mut self, from: &str, page: CatchUpPage, acts: &mut Vec<Act>) {
         let Some(tree) = Tree::number(page.tree) else { return };
         let (last_key, count) = (page.records.last().map(Key::of), page.records.len() as u64);
         for record in page.records {
--- a/crates/replica/src/replica/donor.rs
+++ b/crates/replica/src/replica/donor.rs
@@ -5,7 +5,7 @@
 use super::{Act, Replica};
 use crate::kind::Tree;
 use crate::record::Key;
-use crate::wire::{CatchUp, Part, Said};
+use crate::wire::{CatchUpPage, CatchUpRequest, Said};
 use crate::Micros;
 use std::collections::VecDeque;
 
@@ -24,7 +24,7 @@
 #[derive(Clone, Debug)]
 struct PendingRequest {
     from: String,
-    request: CatchUp,
+    request: CatchUpRequest,
 }
 
 impl Donor {
@@ -48,7 +48,7 @@
     }
 
     /// Adds a request. A later one of the same front for the same tree replaces the earlier.
-    fn add(&mut self, from: String, request: CatchUp) {
+    fn add(&mut self, from: String, request: CatchUpRequest) {
         self.pending.retain(|pending| pending.from != from || pending.request.tree != request.tree);
         if self.pending.len() < REQUESTS_MOST {
             self.pending.push_back(PendingRequest { from, request });
@@ -58,7 +58,12 @@
 
 impl Replica {
     /// A front that catches up requests records.
-    pub(super) fn receive_catch_up_request(&mut self, from: String, request: CatchUp, acts: &mut Vec<Act>) {
+    pub(super) fn receive_catch_up_request(
+        &mut self,
+        from: String,
+        request: CatchUpRequest,
+        acts: &mut Vec<Act>,
+    ) {
         self.refill_budgets();
         self.donor.add(from, request);
         self.serve_catch_up_requests(acts);
@@ -76,8 +81,8 @@
     }
 
     /// The records of a tree that follow a key, as many as fit into one answer.
-    fn page(&self, tree: Tree, after: Option<&Key>) -> Part {
-        let mut page = Part { tree: tree as u32, records: Vec::new(), last: true };
+    fn page(&self, tree: Tree, after: Option<&Key>) -> CatchUpPage {
+        let mut page = CatchUpPage { tree: tree as u32, records: Vec::new(), last: true };
         let mut size = 0;
         for record in self.map.from(tree, after) {
             if size > PAGE_BYTES {
--- a/crates/replica/src/replica/send.rs
+++ b/crates/replica/src/replica/send.rs
@@ -76,7 +76,7 @@
         self.counts.sent += 1;
         self.counts.sent_bytes += packed as u64;
         *self.counts.spent.entry(kind).or_default() += packed as u64;
-        if kind == MessageKind::Part {
+        if kind == MessageKind::CatchUpPage {
             // Unpacked: it is the packing that lookups wait for.
             self.donor.spend(plain);
         } else {
--- a/crates/replica/src/replica/vouching.rs
+++ b/crates/replica/src/replica/vouching.rs
@@ -3,7 +3,7 @@
 
 use super::{Act, Replica, Told, STALLED};
 use crate::kind::Tree;
-use crate::wire::Items;
+use crate::wire::BucketHashes;
 use crate::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -85,7 +85,7 @@
     }
 
     /// Another front has answered with its claims, of which this front lacks some.
-    pub(super) fn continue_vouching(&mut self, from: &str, theirs: Items, missing: &BTreeSet<u64>) {
+    pub(super) fn continue_vouching(&mut self, from: &str, theirs: BucketHashes, missing: &BTreeSet<u64>) {
         let Some(comparison) = self.vouching.comparisons.get_mut(from) else { return };
         comparison.missing = Some(missing.clone());
         comparison.covers_all = theirs.all && theirs.knows;
--- a/crates/replica/src/snapshot.rs
+++ b/crates/replica/src/snapshot.rs
@@ -1,4 +1,5 @@
-//! What is held as one file: written aside and moved into place by the host, and taken in whole or not at all.
+//! Snapshots: all records as one file, which the host writes aside and moves into place, and which is read whole or not at
+//! all. It is a sequence of parts, each packed by itself behind its length.
 
 use crate::kind::Kind;
 use crate::map::{Map, Took};
@@ -10,11 +11,12 @@
 
 const MARK: [u8; 2] = *b"ms";
 const VERSION: u8 = 1;
-/// From the future by so much: a clock is wrong, and with it all times inside.
-const AHEAD: Micros = 5_000_000;
-/// Records of one part: a part is packed by itself.
-const PART: usize = 1000;
-const LENGTH: usize = 4;
+/// A snapshot from further in the future is refused: a clock was wrong, and so are all times inside.
+const AHEAD_MOST: Micros = 5_000_000;
+/// Records in one part.
+const PART_RECORDS: usize = 1000;
+/// Bytes of the length in front of a part.
+const LENGTH_BYTES: usize = 4;
 
 #[derive(Clone, PartialEq, Message)]
 struct Part {
@@ -32,17 +34,23 @@
     records: Vec<Record>,
 }
 
-/// Why a snapshot was refused, whole.
+/// Why a snapshot was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refused {
+    /// Parts are missing or cut off.
     Torn,
+    /// A part can't be read.
     Damaged(Dropped),
+    /// It was written by a front of another fleet.
     Fleet,
+    /// It was written in the future.
     Future,
+    /// What it holds is too old.
     Old,
 }
 
 impl Refused {
+    /// The reason for the log.
     pub fn name(self) -> &'static str {
         match self {
             Refused::Torn => "torn",
@@ -55,27 +63,23 @@
     }
 }
 
-/// Claims that are open are left out by none: what may have run must not be forgotten.
+/// Writes a snapshot of all records, open claims among them: what may have run must not be forgotten.
 pub fn write(map: &Map, fleet: u64, now: Micros) -> Vec<u8> {
     let records: Vec<Record> = map.iter().map(|(key, entry)| record(key, entry)).collect();
-    let parts: Vec<&[Record]> = if records.is_empty() { vec![&[]] } else { records.chunks(PART).collect() };
-    let (mut whole, mut bytes) = (Vec::new(), Vec::new());
-    for (number, records) in (0..).zip(&parts) {
-        let (at, of) = (now as u64, parts.len() as u32);
-        envelope::write_packed(
-            MARK,
-            VERSION,
-            envelope::SMALL,
-            &Part { fleet, at, number, of, records: records.to_vec() },
-            &mut bytes,
-        );
-        whole.extend((bytes.len() as u32).to_le_bytes());
-        whole.extend(&bytes);
+    let chunks: Vec<&[Record]> =
+        if records.is_empty() { vec![&[]] } else { records.chunks(PART_RECORDS).collect() };
+    let (mut snapshot, mut bytes) = (Vec::new(), Vec::new());
+    for (number, records) in (0..).zip(&chunks) {
+        let (at, of, records) = (now as u64, chunks.len() as u32, records.to_vec());
+        let part = Part { fleet, at, number, of, records };
+        envelope::write_packed(MARK, VERSION, envelope::SMALL, &part, &mut bytes);
+        snapshot.extend((bytes.len() as u32).to_le_bytes());
+        snapshot.extend(&bytes);
     }
-    whole
+    snapshot
 }
 
-/// Takes it into an empty map; how many records, and how old it is.
+/// Reads a snapshot into an empty map; how many records it brought, and how old it is.
 pub fn read(
     bytes: &[u8],
     map: &mut Map,
@@ -83,39 +87,52 @@
     oldest: Micros,
     now: Micros,
 ) -> Result<(usize, Micros), Refused> {
+    let parts = read_parts(bytes)?;
+    let written_at = check_parts(&parts, fleet)?;
+    if written_at > now + AHEAD_MOST {
+        return Err(Refused::Future);
+    }
+    if now - written_at > oldest {
+        return Err(Refused::Old);
+    }
+    let mut count = 0;
+    for record in parts.into_iter().flat_map(|part| part.records).filter(outlives_restart) {
+        let merged = map.merge(Key::of(&record), entry(&record), now);
+        count += usize::from(matches!(merged, Took::New(_)));
+    }
+    Ok((count, now - written_at))
+}
+
+fn read_parts(bytes: &[u8]) -> Result<Vec<Part>, Refused> {
     let (mut rest, mut parts): (&[u8], Vec<Part>) = (bytes, Vec::new());
     while !rest.is_empty() {
-        let (length, after) = rest.split_first_chunk::<LENGTH>().ok_or(Refused::Torn)?;
-        let (part, after) =
-            after.split_at_checked(u32::from_le_bytes(*length) as usize).ok_or(Refused::Torn)?;
+        let (length, after) = rest.split_first_chunk::<LENGTH_BYTES>().ok_or(Refused::Torn)?;
+        let length = u32::from_le_bytes(*length) as usize;
+        let (part, after) = after.split_at_checked(length).ok_or(Refused::Torn)?;
         parts.push(envelope::read(MARK, MARK, VERSION, part).map_err(Refused::Damaged)?);
         rest = after;
     }
+    Ok(parts)
+}
+
+/// Whether the parts are all parts of one snapshot of this fleet; when it was written.
+fn check_parts(parts: &[Part], fleet: u64) -> Result<Micros, Refused> {
     let first = parts.first().ok_or(Refused::Torn)?;
-    let (of, at) = (first.of, first.at as Micros);
-    if of as usize != parts.len() {
+    if first.of as usize != parts.len() {
         return Err(Refused::Torn);
     }
-    if parts.iter().any(|p| p.fleet != fleet) {
+    if parts.iter().any(|part| part.fleet != fleet) {
         return Err(Refused::Fleet);
     }
-    if (0..).zip(&parts).any(|(n, p)| p.number != n || p.of != of || p.at as Micros != at) {
+    let fits =
+        |(number, part): (u32, &Part)| part.number == number && part.of == first.of && part.at == first.at;
+    if !(0..).zip(parts).all(fits) {
         return Err(Refused::Torn);
     }
-    if at > now + AHEAD {
-        return Err(Refused::Future);
-    }
-    if now - at > oldest {
-        return Err(Refused::Old);
-    }
-    let mut many = 0;
-    for record in parts.into_iter().flat_map(|p| p.records) {
-        // Sights of before a restart say little of now; all else holds till it is over.
-        let learned = [Kind::Learned, Kind::Usage].into_iter().any(|kind| kind as u32 == record.kind);
-        let key = Key::of(&record);
-        if !learned {
-            many += usize::from(matches!(map.merge(key, entry(&record), now), Took::New(_)));
-        }
-    }
-    Ok((many, now - at))
+    Ok(first.at as Micros)
+}
+
+/// Observations of before a restart say little of now; all else holds until it expires.
+fn outlives_restart(record: &Record) -> bool {
+    !matches!(Kind::of(record.kind), Some(Kind::Learned | Kind::Usage))
 }
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -1,52 +1,68 @@
-//! What fronts say to each other of what they share: the same envelope as that of the view (`members::envelope`), `mp` in a
-//! datagram and `mq` in a chunk.
+//! The messages between fronts about what they share, in the envelope that the membership view uses as well
+//! (`members::envelope`): marked `mp` in a datagram, and `mq` when packed for a stream.
 
 use meadowrill_members::envelope::{self, Dropped};
 use prost::Message;
 
+/// Marks a message in a datagram.
 pub const MARK: [u8; 2] = *b"mp";
+/// Marks a packed message on a stream.
 pub const CHUNK_MARK: [u8; 2] = *b"mq";
+/// The version of the format.
 pub const VERSION: u8 = 1;
-/// A datagram with all that is round it.
+/// Largest datagram, with the headers of the lower layers.
 pub const MOST: usize = 1200;
+/// Longest name of a front.
 const NAME_MOST: usize = 64;
 
+/// One message with its sender.
 #[derive(Clone, PartialEq, Message)]
 pub struct Packet {
     /// Hash of the fleet's name.
     #[prost(fixed64, tag = "1")]
     pub fleet: u64,
+    /// The sender's name.
     #[prost(string, tag = "2")]
     pub from: String,
-    /// Of the sender's process.
+    /// When the sender's process started.
     #[prost(uint64, tag = "3")]
     pub start: u64,
+    /// The message itself.
     #[prost(oneof = "Said", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub said: Option<Said>,
 }
 
+/// The messages.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub enum Said {
-    /// News, told on.
+    /// Rumors: updates to urgent records, which the receiver disseminates further.
     #[prost(message, tag = "4")]
     News(Records),
-    /// Records that were asked for or found missing: not told on.
+    /// Anti-entropy: records that were requested or found to be missing; they are not disseminated further.
     #[prost(message, tag = "5")]
     Delta(Delta),
+    /// Anti-entropy: begins a comparison of all trees.
     #[prost(message, tag = "6")]
     Roots(Roots),
+    /// Anti-entropy: begins a comparison of one tree, or follows from different roots.
     #[prost(message, tag = "7")]
-    Buckets(Buckets),
+    Buckets(BucketDigests),
+    /// Anti-entropy: answers digests that differ.
     #[prost(message, tag = "8")]
-    Items(Items),
+    Items(BucketHashes),
+    /// Anti-entropy: requests records by their hashes.
     #[prost(message, tag = "9")]
-    Want(Want),
+    Want(RecordRequest),
+    /// Catching up: requests records from a donor.
     #[prost(message, tag = "10")]
-    CatchUp(CatchUp),
+    CatchUp(CatchUpRequest),
+    /// Catching up: the donor's answer.
     #[prost(message, tag = "11")]
-    Part(Part),
+    Part(CatchUpPage),
+    /// Effects: asks an owner of a key to grant a claim to it.
     #[prost(message, tag = "12")]
     Ask(Ask),
+    /// Effects: the owner's answer.
     #[prost(message, tag = "13")]
     Reply(Reply),
 }
@@ -54,32 +70,42 @@
 /// The kinds of message, in the order of their labels.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MessageKind {
-    Ask,
-    Buckets,
-    CatchUp,
+    /// [`Ask`].
+    ClaimRequest,
+    /// [`BucketDigests`].
+    BucketDigests,
+    /// [`CatchUpRequest`].
+    CatchUpRequest,
+    /// [`Delta`].
     Delta,
-    Items,
-    News,
-    Part,
-    Reply,
+    /// [`BucketHashes`].
+    BucketHashes,
+    /// Rumors: [`Records`].
+    Rumors,
+    /// [`CatchUpPage`].
+    CatchUpPage,
+    /// [`Reply`].
+    ClaimReply,
+    /// [`Roots`].
     Roots,
-    Want,
+    /// [`RecordRequest`].
+    RecordRequest,
 }
 
 impl MessageKind {
     /// The label in metrics.
     pub fn name(self) -> &'static str {
         match self {
-            MessageKind::Ask => "ask",
-            MessageKind::Buckets => "buckets",
-            MessageKind::CatchUp => "catch_up",
+            MessageKind::ClaimRequest => "ask",
+            MessageKind::BucketDigests => "buckets",
+            MessageKind::CatchUpRequest => "catch_up",
             MessageKind::Delta => "delta",
-            MessageKind::Items => "items",
-            MessageKind::News => "news",
-            MessageKind::Part => "part",
-            MessageKind::Reply => "reply",
+            MessageKind::BucketHashes => "items",
+            MessageKind::Rumors => "news",
+            MessageKind::CatchUpPage => "part",
+            MessageKind::ClaimReply => "reply",
             MessageKind::Roots => "roots",
-            MessageKind::Want => "want",
+            MessageKind::RecordRequest => "want",
         }
     }
 }
@@ -88,151 +114,185 @@
     /// What kind of message this is.
     pub fn kind(&self) -> MessageKind {
         match self {
-            Said::News(_) => MessageKind::News,
+            Said::News(_) => MessageKind::Rumors,
             Said::Delta(_) => MessageKind::Delta,
             Said::Roots(_) => MessageKind::Roots,
-            Said::Buckets(_) => MessageKind::Buckets,
-            Said::Items(_) => MessageKind::Items,
-            Said::Want(_) => MessageKind::Want,
-            Said::CatchUp(_) => MessageKind::CatchUp,
-            Said::Part(_) => MessageKind::Part,
-            Said::Ask(_) => MessageKind::Ask,
-            Said::Reply(_) => MessageKind::Reply,
+            Said::Buckets(_) => MessageKind::BucketDigests,
+            Said::Items(_) => MessageKind::BucketHashes,
+            Said::Want(_) => MessageKind::RecordRequest,
+            Said::CatchUp(_) => MessageKind::CatchUpRequest,
+            Said::Part(_) => MessageKind::CatchUpPage,
+            Said::Ask(_) => MessageKind::ClaimRequest,
+            Said::Reply(_) => MessageKind::ClaimReply,
         }
     }
 }
 
+/// A replicated record.
 #[derive(Clone, PartialEq, Message)]
 pub struct Record {
+    /// The number of its kind.
     #[prost(uint32, tag = "1")]
     pub kind: u32,
+    /// Its name within the kind.
     #[prost(bytes = "vec", tag = "2")]
     pub name: Vec<u8>,
-    /// The rank, by which the larger of two stands.
+    /// The first part of its rank: of two records of one name the one with the larger rank stands.
     #[prost(uint64, tag = "3")]
     pub high: u64,
+    /// The second part of its rank.
     #[prost(uint64, tag = "4")]
     pub low: u64,
+    /// Its value, as its kind encodes it.
     #[prost(bytes = "vec", tag = "5")]
     pub value: Vec<u8>,
-    /// Unix time in microseconds.
+    /// When it expires, in Unix time in microseconds.
     #[prost(uint64, tag = "6")]
     pub until: u64,
 }
 
+/// Some records.
 #[derive(Clone, PartialEq, Message)]
 pub struct Records {
+    /// In no particular order.
     #[prost(message, repeated, tag = "1")]
     pub records: Vec<Record>,
 }
 
+/// Records that the receiver lacks.
 #[derive(Clone, PartialEq, Message)]
 pub struct Delta {
+    /// The records.
     #[prost(message, repeated, tag = "1")]
     pub records: Vec<Record>,
-    /// Hashes that were wanted and are no longer held.
+    /// Hashes of records that were requested and are no longer held.
     #[prost(fixed64, repeated, tag = "2")]
     pub gone: Vec<u64>,
 }
 
-/// By tree.
+/// Digests of all trees.
 #[derive(Clone, PartialEq, Message)]
 pub struct Roots {
+    /// By the number of the tree.
     #[prost(fixed64, repeated, tag = "1")]
     pub roots: Vec<u64>,
 }
 
+/// Digests of the buckets of a tree.
 #[derive(Clone, PartialEq, Message)]
-pub struct Buckets {
+pub struct BucketDigests {
+    /// The number of the tree.
     #[prost(uint32, tag = "1")]
     pub tree: u32,
+    /// By the number of the bucket.
     #[prost(fixed32, repeated, tag = "2")]
     pub digests: Vec<u32>,
 }
 
-/// All that is held in these buckets, by hashes.
+/// Hashes of all records in some buckets of a tree.
 #[derive(Clone, PartialEq, Message)]
-pub struct Items {
+pub struct BucketHashes {
+    /// The number of the tree.
     #[prost(uint32, tag = "1")]
     pub tree: u32,
+    /// The numbers of the buckets.
     #[prost(uint32, repeated, tag = "2")]
     pub buckets: Vec<u32>,
+    /// The hashes, of all these buckets together.
     #[prost(fixed64, repeated, tag = "3")]
     pub hashes: Vec<u64>,
-    /// Whom the sender holds to be of the fleet, for one that asked so as to vouch for effects.
+    /// The fronts that decide on effects, as the sender has them; for a receiver that has yet to vouch.
     #[prost(string, repeated, tag = "4")]
     pub electors: Vec<String>,
     /// These are all buckets that differ.
     #[prost(bool, tag = "5")]
     pub all: bool,
-    /// The sender holds the receiver to decide on effects, so it agrees to nothing without it from now on.
+    /// The sender counts the receiver among those that decide on effects: from now on it agrees to nothing without it.
     #[prost(bool, tag = "6")]
     pub knows: bool,
 }
 
+/// Requests records.
 #[derive(Clone, PartialEq, Message)]
-pub struct Want {
+pub struct RecordRequest {
+    /// Their hashes.
     #[prost(fixed64, repeated, tag = "1")]
     pub hashes: Vec<u64>,
 }
 
-/// Records of a tree from behind a key on.
+/// Requests the records of a tree that follow a key.
 #[derive(Clone, PartialEq, Message)]
-pub struct CatchUp {
+pub struct CatchUpRequest {
+    /// The number of the tree.
     #[prost(uint32, tag = "1")]
     pub tree: u32,
+    /// From the first record on; the key says nothing then.
     #[prost(bool, tag = "2")]
     pub first: bool,
+    /// The kind of the key.
     #[prost(uint32, tag = "3")]
     pub kind: u32,
+    /// The name of the key.
     #[prost(bytes = "vec", tag = "4")]
     pub name: Vec<u8>,
 }
 
+/// Records of a tree, in the order of their keys.
 #[derive(Clone, PartialEq, Message)]
-pub struct Part {
+pub struct CatchUpPage {
+    /// The number of the tree.
     #[prost(uint32, tag = "1")]
     pub tree: u32,
+    /// The records.
     #[prost(message, repeated, tag = "2")]
     pub records: Vec<Record>,
+    /// No others follow.
     #[prost(bool, tag = "3")]
     pub last: bool,
 }
 
-/// May this claim have the effect?
+/// Asks an owner of a key to grant a claim to its effect.
 #[derive(Clone, PartialEq, Message)]
 pub struct Ask {
+    /// The number of the request, which the reply repeats.
     #[prost(uint64, tag = "1")]
     pub number: u64,
+    /// The claim.
     #[prost(message, optional, tag = "2")]
     pub claim: Option<Record>,
-    /// Whom the asker takes to decide on this key.
+    /// The fronts that decide on this key, as the sender has them.
     #[prost(string, repeated, tag = "3")]
     pub owners: Vec<String>,
-    /// Another's claim may be taken over until then, as the origin drops repeats so long; 0 for never.
+    /// Another's claim may be taken over until then, as the origin drops repeats for that long; 0 for never.
     #[prost(uint64, tag = "4")]
     pub take_over: u64,
 }
 
+/// An owner's answer to a request for a claim.
 #[derive(Clone, PartialEq, Message)]
 pub struct Reply {
+    /// The number of the request.
     #[prost(uint64, tag = "1")]
     pub number: u64,
+    /// The number of the verdict.
     #[prost(uint32, tag = "2")]
     pub verdict: u32,
-    /// What stands in the way.
+    /// The claims that conflict with it.
     #[prost(message, repeated, tag = "3")]
     pub claims: Vec<Record>,
 }
 
+/// Encodes a message for a datagram.
 pub fn write(packet: &Packet, into: &mut Vec<u8>) {
     envelope::write(MARK, VERSION, packet, into);
 }
 
+/// Encodes and packs a message for a stream.
 pub fn write_chunk(packet: &Packet, into: &mut Vec<u8>) {
     envelope::write_packed(CHUNK_MARK, VERSION, envelope::FAST, packet, into);
 }
 
+/// Decodes a message in either form, and checks that it is of this fleet.
 pub fn read(bytes: &[u8], fleet: u64) -> Result<Packet, Dropped> {
     let packet: Packet = envelope::read(MARK, CHUNK_MARK, VERSION, bytes)?;
     if packet.fleet != fleet {
