Messages and the ledger's steps are named by the terms of their protocols

Said::News, Ask, Letter, Ground and the like needed explaining; they are Body::Rumors, ClaimRequest, OwnerRequest and StepInput. Tags, bytes and labels of metrics stay. Two test files use the new identifiers; what they do and assert is unchanged.

--- a/crates/replica/src/ledger/admission.rs
+++ b/crates/replica/src/ledger/admission.rs
@@ -2,7 +2,7 @@
 
 use super::claims::Stand;
 use super::lookup::{PendingLookup, Phase};
-use super::{End, Ground, Ledger, Out, Terms, Word};
+use super::{End, Ledger, StepInput, StepOutput, Terms, Word};
 use crate::kinds::Ran;
 use crate::mutant;
 use crate::Micros;
@@ -16,24 +16,24 @@
 
 impl Ledger {
     /// A keyed lookup came: a decision on it comes at once or later.
-    pub fn ask(&mut self, token: u64, key: &[u8], terms: Terms, on: &mut Ground, out: &mut Out) {
+    pub fn ask(&mut self, token: u64, key: &[u8], terms: Terms, input: &mut StepInput, out: &mut StepOutput) {
         self.counts.asked += 1;
         if self.pending.len() >= PENDING_MOST {
             self.counts.refused += 1;
-            return out.words.push(Word::Refuse { token, come_back: COME_BACK });
+            return out.decisions.push(Word::Refuse { token, come_back: COME_BACK });
         }
         let write_time = (terms.budget as f64 * self.plan.write_part) as Micros;
         self.pending.insert(token, PendingLookup::new(token, key, terms, write_time));
-        self.consider(token, on, out);
+        self.consider(token, input, out);
     }
 
     /// Does what the known claims of its key call for.
-    pub(super) fn consider(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    pub(super) fn consider(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(lookup) = self.pending.get(&token) else { return };
-        match lookup.stand(on) {
-            Stand::Free => self.request_claim(token, None, on, out),
-            Stand::Open { .. } => self.wait(token, on, out),
-            Stand::Lost { first } => self.take_over(token, first, on, out),
+        match lookup.stand(input) {
+            Stand::Free => self.request_claim(token, None, input, out),
+            Stand::Open { .. } => self.wait(token, input, out),
+            Stand::Lost { first } => self.take_over(token, first, input, out),
             Stand::Done { current, body: Some(body) } => {
                 self.decide(Word::Answer { token, current, body }, out);
             }
@@ -43,31 +43,31 @@
     }
 
     /// Waits for another's outcome.
-    fn wait(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    fn wait(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(lookup) = self.pending.get_mut(&token) else { return };
         if !matches!(lookup.phase, Phase::Waiting) {
             self.counts.waited += 1;
         }
         lookup.phase = Phase::Waiting;
-        if on.now >= lookup.answer_by() {
+        if input.now >= lookup.answer_by() {
             self.decide(Word::Fail { token }, out);
         }
     }
 
     /// Claims the key after a claim whose outcome is lost, while the origin still drops repeats of its sends: to send again
     /// brings the first one's outcome, or is the first to run.
-    fn take_over(&mut self, token: u64, first: Micros, on: &mut Ground, out: &mut Out) {
+    fn take_over(&mut self, token: u64, first: Micros, input: &mut StepInput, out: &mut StepOutput) {
         let Some(lookup) = self.pending.get(&token) else { return };
         let until = first + lookup.terms.window - WINDOW_MARGIN;
-        if lookup.terms.window > 0 && on.now + WINDOW_MARGIN < until {
-            self.request_claim(token, Some(first), on, out);
+        if lookup.terms.window > 0 && input.now + WINDOW_MARGIN < until {
+            self.request_claim(token, Some(first), input, out);
         } else {
             self.decide(Word::Fail { token }, out);
         }
     }
 
     /// Decides on a lookup that is not let through.
-    fn decide(&mut self, word: Word, out: &mut Out) {
+    fn decide(&mut self, word: Word, out: &mut StepOutput) {
         let (token, count) = match &word {
             Word::Go { .. } => return,
             Word::Answer { token, .. } => (token, &mut self.counts.answered),
@@ -78,20 +78,20 @@
         if let Some(lookup) = self.pending.remove(token) {
             self.tokens.remove(&lookup.claim_id.1);
         }
-        out.words.push(word);
+        out.decisions.push(word);
     }
 
     /// Refuses a lookup whose claim was not granted in time. Where it would have taken over from a claim that may have run,
     /// a refusal would be untrue.
-    pub(super) fn refuse(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    pub(super) fn refuse(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let takes_over = self.pending.get(&token).is_some_and(|lookup| lookup.takes_over.is_some());
-        self.release(token, on, out);
+        self.release(token, input, out);
         let refusal = Word::Refuse { token, come_back: COME_BACK };
         self.decide(if takes_over { Word::Fail { token } } else { refusal }, out);
     }
 
     /// Lets a lookup through.
-    pub(super) fn admit(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    pub(super) fn admit(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(mut lookup) = self.pending.remove(&token) else { return };
         lookup.phase = Phase::Admitted;
         self.counts.granted += 1;
@@ -100,14 +100,14 @@
             self.counts.taken_over += 1;
             until = until.min(first + lookup.terms.window - WINDOW_MARGIN);
         }
-        self.mark(&mut lookup, Ran::May, on, out);
+        self.mark(&mut lookup, Ran::May, input, out);
         let again = lookup.takes_over.is_some();
         self.pending.insert(token, lookup);
-        out.words.push(Word::Go { token, until, again });
+        out.decisions.push(Word::Go { token, until, again });
     }
 
     /// A lookup that was let through has ended.
-    pub fn end(&mut self, token: u64, end: End, on: &mut Ground, out: &mut Out) {
+    pub fn end(&mut self, token: u64, end: End, input: &mut StepInput, out: &mut StepOutput) {
         let Some(mut lookup) = self.pending.remove(&token) else { return };
         self.tokens.remove(&lookup.claim_id.1);
         let state = match end {
@@ -121,15 +121,15 @@
             }
         };
         let state = if mutant("forgets-outcome") { Ran::Not } else { state };
-        self.mark(&mut lookup, state, on, out);
+        self.mark(&mut lookup, state, input, out);
     }
 
     /// The client of a lookup has gone. True if the lookup was not let through, so that nothing of it was sent.
-    pub fn left(&mut self, token: u64, on: &mut Ground, out: &mut Out) -> bool {
+    pub fn left(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) -> bool {
         if self.pending.get(&token).is_none_or(PendingLookup::is_admitted) {
             return false;
         }
-        self.release(token, on, out);
+        self.release(token, input, out);
         self.pending.remove(&token);
         true
     }
--- a/crates/replica/src/ledger/decision.rs
+++ b/crates/replica/src/ledger/decision.rs
@@ -1,6 +1,6 @@
 //! What goes into the ledger and comes out of it: the terms and the end of a lookup, decisions, requests and verdicts.
 
-use crate::wire::Ask;
+use crate::wire::ClaimRequest;
 use crate::Micros;
 
 /// The terms of a keyed lookup.
@@ -67,11 +67,11 @@
 
 /// A request to an owner.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Letter {
+pub struct OwnerRequest {
     /// The owner.
     pub to: String,
     /// The request.
-    pub ask: Ask,
+    pub request: ClaimRequest,
 }
 
 /// An owner's verdict on a claim. The numbers are those of the wire format.
--- a/crates/replica/src/ledger/lookup.rs
+++ b/crates/replica/src/ledger/lookup.rs
@@ -1,7 +1,7 @@
 //! A keyed lookup from when it came to its end.
 
 use super::claims::{stand, Stand};
-use super::{Ground, Terms, Verdict};
+use super::{StepInput, Terms, Verdict};
 use crate::kinds::{self, Claim, Ran};
 use crate::record::{Entry, Key};
 use crate::Micros;
@@ -89,8 +89,8 @@
     }
 
     /// What the claims of its key but its own say.
-    pub(super) fn stand(&self, on: &Ground) -> Stand {
-        stand(on.map, &self.prefix, self.claim_key.as_ref(), on.electors, on.now)
+    pub(super) fn stand(&self, input: &StepInput) -> Stand {
+        stand(input.map, &self.prefix, self.claim_key.as_ref(), input.electors, input.now)
     }
 
     /// The record of its claim.
--- a/crates/replica/src/ledger/mod.rs
+++ b/crates/replica/src/ledger/mod.rs
@@ -20,7 +20,7 @@
 
 pub use crate::record::entry;
 pub use claims::{stand, Stand};
-pub use decision::{End, Letter, Terms, Verdict, Word};
+pub use decision::{End, OwnerRequest, Terms, Verdict, Word};
 pub use electors::Electors;
 
 use crate::kinds::Ran;
@@ -75,7 +75,7 @@
 }
 
 /// What a step of the ledger works on.
-pub struct Ground<'a> {
+pub struct StepInput<'a> {
     /// The time.
     pub now: Micros,
     /// The records that are held.
@@ -84,9 +84,9 @@
     pub electors: &'a Electors,
 }
 
-impl Ground<'_> {
+impl StepInput<'_> {
     /// Merges a record; it is noted as changed if it stands.
-    fn merge(&mut self, key: &Key, entry: Entry, out: &mut Out) -> bool {
+    fn merge(&mut self, key: &Key, entry: Entry, out: &mut StepOutput) -> bool {
         let stands = matches!(self.map.merge(key.clone(), entry, self.now), Took::New(_));
         if stands {
             out.changed.push(key.clone());
@@ -97,11 +97,11 @@
 
 /// What a step of the ledger brings about.
 #[derive(Debug, Default)]
-pub struct Out {
+pub struct StepOutput {
     /// Decisions on lookups.
-    pub words: Vec<Word>,
+    pub decisions: Vec<Word>,
     /// Requests for owners.
-    pub letters: Vec<Letter>,
+    pub requests: Vec<OwnerRequest>,
     /// Keys of records that have changed and are to be disseminated.
     pub changed: Vec<Key>,
 }
@@ -133,30 +133,32 @@
     }
 
     /// Time has passed, others' claims have changed, or the fronts that decide.
-    pub fn tick(&mut self, on: &mut Ground, out: &mut Out) {
+    pub fn tick(&mut self, input: &mut StepInput, out: &mut StepOutput) {
         let undecided: Vec<u64> =
             self.pending.values().filter(|lookup| !lookup.is_admitted()).map(|lookup| lookup.token).collect();
         for token in undecided {
-            self.tick_lookup(token, on, out);
+            self.tick_lookup(token, input, out);
         }
     }
 
-    fn tick_lookup(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    fn tick_lookup(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(lookup) = self.pending.get(&token) else { return };
         match &lookup.phase {
-            Phase::Requesting { until, .. } if on.now >= *until => self.fail_to_write(token, on, out),
-            Phase::Requesting { retry_at, .. } if on.now >= *retry_at => self.retry_claim(token, on, out),
-            Phase::Conflicted { retry_at } if on.now >= *retry_at => self.consider(token, on, out),
-            Phase::Waiting => self.consider(token, on, out),
+            Phase::Requesting { until, .. } if input.now >= *until => self.fail_to_write(token, input, out),
+            Phase::Requesting { retry_at, .. } if input.now >= *retry_at => {
+                self.retry_claim(token, input, out)
+            }
+            Phase::Conflicted { retry_at } if input.now >= *retry_at => self.consider(token, input, out),
+            Phase::Waiting => self.consider(token, input, out),
             _ => {}
         }
     }
 
     /// Records the state of this front's own claim for a lookup.
-    fn mark(&self, lookup: &mut PendingLookup, state: Ran, on: &mut Ground, out: &mut Out) {
+    fn mark(&self, lookup: &mut PendingLookup, state: Ran, input: &mut StepInput, out: &mut StepOutput) {
         let Some(key) = lookup.claim_key.clone() else { return };
-        let (_, entry) = lookup.record(state, on.now + self.plan.keep);
-        on.merge(&key, entry, out);
+        let (_, entry) = lookup.record(state, input.now + self.plan.keep);
+        input.merge(&key, entry, out);
         if !state.open() {
             lookup.claim_key = None;
         }
--- a/crates/replica/src/ledger/quorum.rs
+++ b/crates/replica/src/ledger/quorum.rs
@@ -2,12 +2,12 @@
 
 use super::claims::Stand;
 use super::lookup::Phase;
-use super::{Ground, Ledger, Letter, Out, Verdict};
+use super::{Ledger, OwnerRequest, StepInput, StepOutput, Verdict};
 use crate::kinds::{Claim, Ran};
 use crate::mutant;
 use crate::plan::Unwritten;
 use crate::record::{entry, Key};
-use crate::wire::{Ask, Reply};
+use crate::wire::{ClaimReply, ClaimRequest};
 use crate::Micros;
 use std::collections::BTreeMap;
 
@@ -24,35 +24,35 @@
         &mut self,
         token: u64,
         first: Option<Micros>,
-        on: &mut Ground,
-        out: &mut Out,
+        input: &mut StepInput,
+        out: &mut StepOutput,
     ) {
         let Some(lookup) = self.pending.get_mut(&token) else { return };
         if matches!(lookup.phase, Phase::Waiting) {
-            lookup.write_until = (on.now + lookup.write_time).min(lookup.answer_by());
+            lookup.write_until = (input.now + lookup.write_time).min(lookup.answer_by());
         }
-        if on.now >= lookup.write_until {
-            return self.fail_to_write(token, on, out);
+        if input.now >= lookup.write_until {
+            return self.fail_to_write(token, input, out);
         }
-        self.number_claim(token, first, on);
-        if !self.hold_own_claim(token, on, out) {
-            return self.fail_to_write(token, on, out);
+        self.number_claim(token, first, input);
+        if !self.hold_own_claim(token, input, out) {
+            return self.fail_to_write(token, input, out);
         }
-        self.send_requests(token, on, out);
+        self.send_requests(token, input, out);
     }
 
     /// Gives a lookup a new claim.
-    fn number_claim(&mut self, token: u64, first: Option<Micros>, on: &Ground) {
+    fn number_claim(&mut self, token: u64, first: Option<Micros>, input: &StepInput) {
         let Some(lookup) = self.pending.get_mut(&token) else { return };
         self.last_number += 1;
         self.tokens.remove(&lookup.claim_id.1);
         lookup.claim_id = (self.holder, self.last_number);
         lookup.takes_over = first;
-        lookup.owners = on.electors.owners(&lookup.prefix, self.plan.copies);
+        lookup.owners = input.electors.owners(&lookup.prefix, self.plan.copies);
         lookup.claim = Claim {
             holder: self.name.clone(),
             start: self.start,
-            first: first.unwrap_or(on.now) as u64,
+            first: first.unwrap_or(input.now) as u64,
             ends: lookup.terms.expires as u64,
             body: None,
             current: false,
@@ -60,28 +60,28 @@
     }
 
     /// Holds a lookup's new claim in this front's own map; false where there is no room to remember it.
-    fn hold_own_claim(&mut self, token: u64, on: &mut Ground, out: &mut Out) -> bool {
+    fn hold_own_claim(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) -> bool {
         let Some(lookup) = self.pending.get_mut(&token) else { return false };
-        let (key, entry) = lookup.record(Ran::Asked, on.now + self.plan.keep);
-        if !on.merge(&key, entry, out) {
+        let (key, entry) = lookup.record(Ran::Asked, input.now + self.plan.keep);
+        if !input.merge(&key, entry, out) {
             lookup.claim_key = None;
             return false;
         }
         lookup.claim_key = Some(key);
         self.tokens.insert(lookup.claim_id.1, token);
         let (verdicts, until) = (BTreeMap::new(), lookup.write_until);
-        lookup.phase = Phase::Requesting { verdicts, until, retry_at: on.now };
+        lookup.phase = Phase::Requesting { verdicts, until, retry_at: input.now };
         true
     }
 
     /// Asks the owners that have not granted the claim, this front itself among them where it is one.
-    fn send_requests(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    fn send_requests(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(lookup) = self.pending.get_mut(&token) else { return };
         let Phase::Requesting { verdicts, until, retry_at } = &mut lookup.phase else { return };
-        *retry_at = on.now + ((*until - on.now) / RETRY_FRACTION).max(RETRY_LEAST);
-        let request = Ask {
+        *retry_at = input.now + ((*until - input.now) / RETRY_FRACTION).max(RETRY_LEAST);
+        let request = ClaimRequest {
             number: lookup.claim_id.1,
-            claim: lookup.claim_key.as_ref().and_then(|key| on.map.record(key)),
+            claim: lookup.claim_key.as_ref().and_then(|key| input.map.record(key)),
             owners: lookup.owners.clone(),
             take_over: lookup.takes_over.map_or(0, |first| (first + lookup.terms.window) as u64),
         };
@@ -89,26 +89,33 @@
         let open: Vec<String> = lookup.owners.iter().filter(|owner| !granted(owner)).cloned().collect();
         for owner in open {
             if owner != self.name {
-                out.letters.push(Letter { to: owner, ask: request.clone() });
+                out.requests.push(OwnerRequest { to: owner, request: request.clone() });
                 continue;
             }
-            let (verdict, _) = self.judge(&request, on);
-            self.note_verdict(token, &owner, verdict, on, out);
+            let (verdict, _) = self.judge(&request, input);
+            self.note_verdict(token, &owner, verdict, input, out);
         }
     }
 
     /// An owner has answered.
-    pub fn reply(&mut self, from: &str, reply: Reply, on: &mut Ground, out: &mut Out) {
+    pub fn reply(&mut self, from: &str, reply: ClaimReply, input: &mut StepInput, out: &mut StepOutput) {
         for record in reply.claims {
-            on.merge(&Key::of(&record), entry(&record), out);
+            input.merge(&Key::of(&record), entry(&record), out);
         }
         let token = self.tokens.get(&reply.number).copied();
         if let (Some(token), Some(verdict)) = (token, Verdict::of(reply.verdict)) {
-            self.note_verdict(token, from, verdict, on, out);
+            self.note_verdict(token, from, verdict, input, out);
         }
     }
 
-    fn note_verdict(&mut self, token: u64, from: &str, verdict: Verdict, on: &mut Ground, out: &mut Out) {
+    fn note_verdict(
+        &mut self,
+        token: u64,
+        from: &str,
+        verdict: Verdict,
+        input: &mut StepInput,
+        out: &mut StepOutput,
+    ) {
         let Some(lookup) = self.pending.get_mut(&token) else { return };
         let Phase::Requesting { verdicts, .. } = &mut lookup.phase else { return };
         if !lookup.owners.iter().any(|owner| owner == from) {
@@ -118,65 +125,65 @@
         if verdicts.get(from) != Some(&Verdict::Granted) {
             verdicts.insert(from.into(), verdict);
         }
-        self.count_verdicts(token, on, out);
+        self.count_verdicts(token, input, out);
     }
 
     /// Lets a lookup through once a quorum has granted its claim, and withdraws the claim once no quorum can.
-    fn count_verdicts(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    fn count_verdicts(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(lookup) = self.pending.get(&token) else { return };
         let quorum = if mutant("one-copy") { 1 } else { lookup.owners.len() / 2 + 1 };
-        let enough_fronts = on.electors.all.len() >= self.plan.fronts_least;
+        let enough_fronts = input.electors.all.len() >= self.plan.fronts_least;
         if lookup.verdict_count(Verdict::Granted) >= quorum && enough_fronts {
-            self.admit(token, on, out);
-        } else if matches!(lookup.stand(on), Stand::Done { .. }) {
+            self.admit(token, input, out);
+        } else if matches!(lookup.stand(input), Stand::Done { .. }) {
             // One owner's word is enough to know that it ran.
-            self.release(token, on, out);
-            self.consider(token, on, out);
+            self.release(token, input, out);
+            self.consider(token, input, out);
         } else if lookup.verdict_count(Verdict::Held) > lookup.owners.len() - quorum {
-            self.withdraw(token, on, out);
+            self.withdraw(token, input, out);
         }
     }
 
     /// Another claim conflicts at so many owners that this one can't be granted.
-    fn withdraw(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
-        self.release(token, on, out);
+    fn withdraw(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
+        self.release(token, input, out);
         let Some(lookup) = self.pending.get_mut(&token) else { return };
-        if lookup.stand(on) != Stand::Free {
-            return self.consider(token, on, out);
+        if lookup.stand(input) != Stand::Free {
+            return self.consider(token, input, out);
         }
         // Both were made at the same time, and the other has been withdrawn too.
-        lookup.phase = Phase::Conflicted { retry_at: on.now + self.rng.i64(1..CONFLICT_DELAY) };
+        lookup.phase = Phase::Conflicted { retry_at: input.now + self.rng.i64(1..CONFLICT_DELAY) };
         self.counts.clashes += 1;
     }
 
     /// Asks again. If the owners of the key have changed it is claimed anew: nothing was sent yet.
-    pub(super) fn retry_claim(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    pub(super) fn retry_claim(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(lookup) = self.pending.get(&token) else { return };
-        if on.electors.owners(&lookup.prefix, self.plan.copies) == lookup.owners {
-            return self.send_requests(token, on, out);
+        if input.electors.owners(&lookup.prefix, self.plan.copies) == lookup.owners {
+            return self.send_requests(token, input, out);
         }
-        self.release(token, on, out);
-        self.consider(token, on, out);
+        self.release(token, input, out);
+        self.consider(token, input, out);
     }
 
     /// No quorum has granted the claim in time.
-    pub(super) fn fail_to_write(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    pub(super) fn fail_to_write(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         self.counts.unwritten += 1;
         match self.plan.unwritten {
             // A claim that takes over is not sent on a guess: the other may have run.
             Unwritten::Serve
                 if self.pending.get(&token).is_some_and(|lookup| lookup.takes_over.is_none()) =>
             {
-                self.admit(token, on, out);
+                self.admit(token, input, out);
             }
-            _ => self.refuse(token, on, out),
+            _ => self.refuse(token, input, out),
         }
     }
 
     /// Ends a claim by which nothing was sent, nor will be.
-    pub(super) fn release(&mut self, token: u64, on: &mut Ground, out: &mut Out) {
+    pub(super) fn release(&mut self, token: u64, input: &mut StepInput, out: &mut StepOutput) {
         let Some(mut lookup) = self.pending.remove(&token) else { return };
-        self.mark(&mut lookup, Ran::Not, on, out);
+        self.mark(&mut lookup, Ran::Not, input, out);
         self.tokens.remove(&lookup.claim_id.1);
         self.pending.insert(token, lookup);
     }
--- a/crates/replica/src/replica/anti_entropy.rs
+++ b/crates/replica/src/replica/anti_entropy.rs
@@ -5,7 +5,7 @@
 use super::{Act, Replica};
 use crate::kind::Tree;
 use crate::map::BUCKETS;
-use crate::wire::{BucketDigests, BucketHashes, Delta, Record, RecordRequest, Records, Roots, Said};
+use crate::wire::{Body, BucketDigests, BucketHashes, Delta, Record, RecordRequest, Records, Roots};
 use std::collections::BTreeSet;
 
 /// Hashes in one message.
@@ -13,8 +13,8 @@
 /// Names of fronts in one message.
 const NAMES_MOST: usize = 256;
 
-fn delta(records: Records) -> Said {
-    Said::Delta(Delta { records: records.records, gone: Vec::new() })
+fn delta(records: Records) -> Body {
+    Body::Delta(Delta { records: records.records, gone: Vec::new() })
 }
 
 impl Replica {
@@ -38,7 +38,7 @@
     /// Begins a comparison of all trees with another front.
     pub(super) fn send_roots(&mut self, to: &str, acts: &mut Vec<Act>) {
         let roots = Tree::ALL.into_iter().map(|tree| self.map.root(tree)).collect();
-        self.send(to, Said::Roots(Roots { roots }), acts);
+        self.send(to, Body::Roots(Roots { roots }), acts);
     }
 
     /// Answers with the digests of each tree that differs.
@@ -55,7 +55,7 @@
     /// Begins a comparison of one tree with another front.
     pub(super) fn send_bucket_digests(&mut self, to: &str, tree: Tree, acts: &mut Vec<Act>) {
         let digests = BucketDigests { tree: tree as u32, digests: self.map.digests(tree) };
-        self.send(to, Said::Buckets(digests), acts);
+        self.send(to, Body::BucketDigests(digests), acts);
     }
 
     /// Answers with the hashes in the buckets that differ.
@@ -67,7 +67,7 @@
             hashes.knows = self.electors.all.contains_key(from);
             hashes.electors = self.electors.all.keys().take(NAMES_MOST).cloned().collect();
         }
-        self.send(from, Said::Items(hashes), acts);
+        self.send(from, Body::BucketHashes(hashes), acts);
     }
 
     /// The hashes in these buckets, as many as fit into a message, beginning at a random bucket.
@@ -98,7 +98,11 @@
             self.continue_vouching(from, theirs, &missing);
         }
         if !missing.is_empty() {
-            self.send(from, Said::Want(RecordRequest { hashes: missing.into_iter().collect() }), acts);
+            self.send(
+                from,
+                Body::RecordRequest(RecordRequest { hashes: missing.into_iter().collect() }),
+                acts,
+            );
         }
     }
 
@@ -131,7 +135,7 @@
             }
         }
         if !records.is_empty() || !gone.is_empty() {
-            self.send(from, Said::Delta(Delta { records, gone }), acts);
+            self.send(from, Body::Delta(Delta { records, gone }), acts);
         }
     }
 }
--- a/crates/replica/src/replica/catch_up.rs
+++ b/crates/replica/src/replica/catch_up.rs
@@ -5,7 +5,7 @@
 use super::{Act, Replica, Told, STALLED};
 use crate::kind::{Tree, TREES};
 use crate::record::Key;
-use crate::wire::{CatchUpPage, CatchUpRequest, Said};
+use crate::wire::{Body, CatchUpPage, CatchUpRequest};
 use crate::Micros;
 use std::collections::BTreeSet;
 
@@ -148,7 +148,7 @@
     fn request_page(&mut self, donor: &str, tree: Tree, after: Option<Key>, acts: &mut Vec<Act>) {
         let first = after.is_none();
         let Key { kind, name } = after.unwrap_or(Key { kind: 0, name: Vec::new() });
-        self.send(donor, Said::CatchUp(CatchUpRequest { tree: tree as u32, first, kind, name }), acts);
+        self.send(donor, Body::CatchUpRequest(CatchUpRequest { tree: tree as u32, first, kind, name }), acts);
     }
 
     /// A donor sent records.
--- a/crates/replica/src/replica/claims.rs
+++ b/crates/replica/src/replica/claims.rs
@@ -2,9 +2,9 @@
 
 use super::{Act, Replica};
 use crate::kinds;
-use crate::ledger::{End, Ground, Ledger, Out, Terms};
+use crate::ledger::{End, Ledger, StepInput, StepOutput, Terms};
 use crate::record::Key;
-use crate::wire::{Ask, Record, Records, Reply, Said};
+use crate::wire::{Body, ClaimReply, ClaimRequest, Record, Records};
 use crate::Micros;
 use std::collections::BTreeMap;
 
@@ -12,20 +12,20 @@
     /// A keyed lookup came: the ledger's decisions on it follow as actions. False where there is no ledger.
     pub fn ask(&mut self, now: Micros, token: u64, key: &[u8], terms: Terms, acts: &mut Vec<Act>) -> bool {
         self.advance(now);
-        self.with_ledger(acts, |ledger, on, out| ledger.ask(token, key, terms, on, out))
+        self.with_ledger(acts, |ledger, input, out| ledger.ask(token, key, terms, input, out))
     }
 
     /// A lookup that the ledger let through has ended.
     pub fn end(&mut self, now: Micros, token: u64, end: End, acts: &mut Vec<Act>) {
         self.advance(now);
-        self.with_ledger(acts, |ledger, on, out| ledger.end(token, end, on, out));
+        self.with_ledger(acts, |ledger, input, out| ledger.end(token, end, input, out));
     }
 
     /// The client of a lookup has gone. True if nothing of the lookup was sent.
     pub fn left(&mut self, now: Micros, token: u64, acts: &mut Vec<Act>) -> bool {
         self.advance(now);
         let mut unsent = false;
-        self.with_ledger(acts, |ledger, on, out| unsent = ledger.left(token, on, out));
+        self.with_ledger(acts, |ledger, input, out| unsent = ledger.left(token, input, out));
         unsent
     }
 
@@ -33,20 +33,20 @@
     pub(super) fn with_ledger(
         &mut self,
         acts: &mut Vec<Act>,
-        step: impl FnOnce(&mut Ledger, &mut Ground, &mut Out),
+        step: impl FnOnce(&mut Ledger, &mut StepInput, &mut StepOutput),
     ) -> bool {
         let Some(ledger) = &mut self.ledger else { return false };
         let (now, electors) = (self.now, &self.electors);
-        let mut out = Out::default();
-        step(ledger, &mut Ground { now, map: &mut self.map, electors }, &mut out);
+        let mut out = StepOutput::default();
+        step(ledger, &mut StepInput { now, map: &mut self.map, electors }, &mut out);
         self.send_ended_claims(&out.changed, acts);
-        for letter in out.letters {
-            self.send(&letter.to, Said::Ask(letter.ask), acts);
+        for request in out.requests {
+            self.send(&request.to, Body::ClaimRequest(request.request), acts);
         }
         for key in out.changed {
             self.queue_rumor(key);
         }
-        acts.extend(out.words.into_iter().map(Act::Word));
+        acts.extend(out.decisions.into_iter().map(Act::Word));
         true
     }
 
@@ -54,7 +54,7 @@
     /// there, and rumors take some rounds.
     fn send_ended_claims(&mut self, changed: &[Key], acts: &mut Vec<Act>) {
         for (owner, records) in self.ended_claims(changed) {
-            self.send(&owner, Said::News(Records { records }), acts);
+            self.send(&owner, Body::Rumors(Records { records }), acts);
         }
     }
 
@@ -75,16 +75,16 @@
     /// Others' claims have changed, which may decide what lookups here wait for.
     pub(super) fn update_waiting_lookups(&mut self, acts: &mut Vec<Act>) {
         if self.ledger.as_ref().is_some_and(|ledger| ledger.open() > 0) {
-            self.with_ledger(acts, |ledger, on, out| ledger.tick(on, out));
+            self.with_ledger(acts, |ledger, input, out| ledger.tick(input, out));
         }
     }
 
     /// Another front asks this one to grant a claim.
-    pub(super) fn receive_claim_request(&mut self, from: &str, request: &Ask, acts: &mut Vec<Act>) {
+    pub(super) fn receive_claim_request(&mut self, from: &str, request: &ClaimRequest, acts: &mut Vec<Act>) {
         let Some(ledger) = &mut self.ledger else { return };
         let (now, electors) = (self.now, &self.electors);
-        let (verdict, claims) = ledger.judge(request, &mut Ground { now, map: &mut self.map, electors });
-        let reply = Reply { number: request.number, verdict: verdict as u32, claims };
-        self.send(from, Said::Reply(reply), acts);
+        let (verdict, claims) = ledger.judge(request, &mut StepInput { now, map: &mut self.map, electors });
+        let reply = ClaimReply { number: request.number, verdict: verdict as u32, claims };
+        self.send(from, Body::ClaimReply(reply), acts);
     }
 }
--- a/crates/replica/src/replica/donor.rs
+++ b/crates/replica/src/replica/donor.rs
@@ -5,7 +5,7 @@
 use super::{Act, Replica};
 use crate::kind::Tree;
 use crate::record::Key;
-use crate::wire::{CatchUpPage, CatchUpRequest, Said};
+use crate::wire::{Body, CatchUpPage, CatchUpRequest};
 use crate::Micros;
 use std::collections::VecDeque;
 
@@ -76,7 +76,7 @@
             let Some(tree) = Tree::number(request.tree) else { continue };
             let after = (!request.first).then_some(Key { kind: request.kind, name: request.name });
             let page = self.page(tree, after.as_ref());
-            self.send(&from, Said::Part(page), acts);
+            self.send(&from, Body::CatchUpPage(page), acts);
         }
     }
 
--- a/crates/replica/src/replica/mod.rs
+++ b/crates/replica/src/replica/mod.rs
@@ -162,7 +162,7 @@
     pub fn tick(&mut self, now: Micros, acts: &mut Vec<Act>) {
         self.advance(now);
         self.refill_budgets();
-        self.with_ledger(acts, |ledger, on, out| ledger.tick(on, out));
+        self.with_ledger(acts, |ledger, input, out| ledger.tick(input, out));
         self.send_due_rumors(now, acts);
         self.serve_catch_up_requests(acts);
         self.continue_catch_up(acts);
--- a/crates/replica/src/replica/peers.rs
+++ b/crates/replica/src/replica/peers.rs
@@ -85,7 +85,7 @@
         }
         self.forget_peers(now, &names);
         self.update_electors();
-        self.with_ledger(acts, |ledger, on, out| ledger.tick(on, out));
+        self.with_ledger(acts, |ledger, input, out| ledger.tick(input, out));
     }
 
     fn update_peer(&mut self, now: Micros, peer: Peer) {
--- a/crates/replica/src/replica/receive.rs
+++ b/crates/replica/src/replica/receive.rs
@@ -5,7 +5,7 @@
 use crate::kinds::{self, Ran};
 use crate::map::Took;
 use crate::record::{entry, hash, Entry, Key};
-use crate::wire::{self, Delta, Packet, Record, Said};
+use crate::wire::{self, Body, Delta, Packet, Record};
 use crate::Micros;
 use meadowrill_members::envelope::Dropped;
 use std::collections::BTreeSet;
@@ -45,21 +45,21 @@
 
     fn dispatch(&mut self, packet: Packet, acts: &mut Vec<Act>) {
         let from = packet.from;
-        match packet.said {
-            Some(Said::News(rumors)) => self.receive_rumors(rumors.records, acts),
-            Some(Said::Delta(delta)) => self.receive_delta(&from, delta, acts),
-            Some(Said::Roots(roots)) => self.receive_roots(&from, &roots.roots, acts),
-            Some(Said::Buckets(buckets)) => self.receive_bucket_digests(&from, &buckets, acts),
-            Some(Said::Items(items)) => self.receive_bucket_hashes(&from, items, acts),
-            Some(Said::Want(want)) => self.receive_record_request(&from, &want, acts),
-            Some(Said::CatchUp(request)) => self.receive_catch_up_request(from, request, acts),
-            Some(Said::Part(page)) => {
+        match packet.body {
+            Some(Body::Rumors(rumors)) => self.receive_rumors(rumors.records, acts),
+            Some(Body::Delta(delta)) => self.receive_delta(&from, delta, acts),
+            Some(Body::Roots(roots)) => self.receive_roots(&from, &roots.roots, acts),
+            Some(Body::BucketDigests(digests)) => self.receive_bucket_digests(&from, &digests, acts),
+            Some(Body::BucketHashes(hashes)) => self.receive_bucket_hashes(&from, hashes, acts),
+            Some(Body::RecordRequest(request)) => self.receive_record_request(&from, &request, acts),
+            Some(Body::CatchUpRequest(request)) => self.receive_catch_up_request(from, request, acts),
+            Some(Body::CatchUpPage(page)) => {
                 self.receive_page(&from, page, acts);
                 self.update_waiting_lookups(acts);
             }
-            Some(Said::Ask(request)) => self.receive_claim_request(&from, &request, acts),
-            Some(Said::Reply(reply)) => {
-                self.with_ledger(acts, |ledger, on, out| ledger.reply(&from, reply, on, out));
+            Some(Body::ClaimRequest(request)) => self.receive_claim_request(&from, &request, acts),
+            Some(Body::ClaimReply(reply)) => {
+                self.with_ledger(acts, |ledger, input, out| ledger.reply(&from, reply, input, out));
             }
             None => {}
         }
--- a/crates/replica/src/replica/rumors.rs
+++ b/crates/replica/src/replica/rumors.rs
@@ -7,7 +7,7 @@
 use crate::map::Map;
 use crate::mutant;
 use crate::record::Key;
-use crate::wire::{Record, Said};
+use crate::wire::{Body, Record};
 use crate::Micros;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -103,7 +103,7 @@
         }
         let records = self.rumors.next_round(&self.map);
         for receiver in receivers {
-            self.send_records(&receiver, &records, Said::News, acts);
+            self.send_records(&receiver, &records, Body::Rumors, acts);
         }
         if !self.rumors.waiting.is_empty() {
             self.rumors.due = Some(self.now + GATHER);
--- a/crates/replica/src/replica/send.rs
+++ b/crates/replica/src/replica/send.rs
@@ -1,13 +1,13 @@
 //! Sending: records are split over messages, and each message goes out as a datagram or over a stream.
 
 use super::{Act, Replica};
-use crate::wire::{self, MessageKind, Packet, Record, Records, Said};
+use crate::wire::{self, Body, MessageKind, Packet, Record, Records};
 use prost::Message;
 
 /// Room for the envelope around a message in a datagram.
 const ENVELOPE_BYTES: usize = 16;
 /// Bytes of records in one datagram; the rest is for the packet around them.
-const DATAGRAM_BYTES: usize = wire::MOST - 160;
+const DATAGRAM_BYTES: usize = wire::DATAGRAM_MOST - 160;
 /// Bytes of records in one message that goes over a stream, before it is packed.
 pub(super) const STREAM_BYTES: usize = 12 * 1024;
 /// More bytes of records than fit into so many datagrams go over a stream.
@@ -46,7 +46,7 @@
         &mut self,
         to: &str,
         records: &[Record],
-        body: impl Fn(Records) -> Said,
+        body: impl Fn(Records) -> Body,
         acts: &mut Vec<Act>,
     ) {
         for message in split(records) {
@@ -55,12 +55,12 @@
     }
 
     /// Sends one message, over a stream where it does not fit into a datagram.
-    pub(super) fn send(&mut self, to: &str, said: Said, acts: &mut Vec<Act>) {
-        let kind = said.kind();
+    pub(super) fn send(&mut self, to: &str, body: Body, acts: &mut Vec<Act>) {
+        let kind = body.kind();
         let (fleet, from, start) = (self.plan.fleet, self.name.clone(), self.start);
-        let packet = Packet { fleet, from, start, said: Some(said) };
+        let packet = Packet { fleet, from, start, body: Some(body) };
         let plain = packet.encoded_len();
-        let stream = plain > wire::MOST - ENVELOPE_BYTES;
+        let stream = plain > wire::DATAGRAM_MOST - ENVELOPE_BYTES;
         if stream {
             wire::write_chunk(&packet, &mut self.buffer);
         } else {
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -11,7 +11,7 @@
 /// The version of the format.
 pub const VERSION: u8 = 1;
 /// Largest datagram, with the headers of the lower layers.
-pub const MOST: usize = 1200;
+pub const DATAGRAM_MOST: usize = 1200;
 /// Longest name of a front.
 const NAME_MOST: usize = 64;
 
@@ -28,16 +28,16 @@
     #[prost(uint64, tag = "3")]
     pub start: u64,
     /// The message itself.
-    #[prost(oneof = "Said", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
-    pub said: Option<Said>,
+    #[prost(oneof = "Body", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    pub body: Option<Body>,
 }
 
-/// The messages.
+/// The message in a packet.
 #[derive(Clone, PartialEq, prost::Oneof)]
-pub enum Said {
+pub enum Body {
     /// Rumors: updates to urgent records, which the receiver disseminates further.
     #[prost(message, tag = "4")]
-    News(Records),
+    Rumors(Records),
     /// Anti-entropy: records that were requested or found to be missing; they are not disseminated further.
     #[prost(message, tag = "5")]
     Delta(Delta),
@@ -46,31 +46,31 @@
     Roots(Roots),
     /// Anti-entropy: begins a comparison of one tree, or follows from different roots.
     #[prost(message, tag = "7")]
-    Buckets(BucketDigests),
+    BucketDigests(BucketDigests),
     /// Anti-entropy: answers digests that differ.
     #[prost(message, tag = "8")]
-    Items(BucketHashes),
+    BucketHashes(BucketHashes),
     /// Anti-entropy: requests records by their hashes.
     #[prost(message, tag = "9")]
-    Want(RecordRequest),
+    RecordRequest(RecordRequest),
     /// Catching up: requests records from a donor.
     #[prost(message, tag = "10")]
-    CatchUp(CatchUpRequest),
+    CatchUpRequest(CatchUpRequest),
     /// Catching up: the donor's answer.
     #[prost(message, tag = "11")]
-    Part(CatchUpPage),
+    CatchUpPage(CatchUpPage),
     /// Effects: asks an owner of a key to grant a claim to it.
     #[prost(message, tag = "12")]
-    Ask(Ask),
+    ClaimRequest(ClaimRequest),
     /// Effects: the owner's answer.
     #[prost(message, tag = "13")]
-    Reply(Reply),
+    ClaimReply(ClaimReply),
 }
 
 /// The kinds of message, in the order of their labels.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MessageKind {
-    /// [`Ask`].
+    /// [`ClaimRequest`].
     ClaimRequest,
     /// [`BucketDigests`].
     BucketDigests,
@@ -84,7 +84,7 @@
     Rumors,
     /// [`CatchUpPage`].
     CatchUpPage,
-    /// [`Reply`].
+    /// [`ClaimReply`].
     ClaimReply,
     /// [`Roots`].
     Roots,
@@ -110,20 +110,20 @@
     }
 }
 
-impl Said {
+impl Body {
     /// What kind of message this is.
     pub fn kind(&self) -> MessageKind {
         match self {
-            Said::News(_) => MessageKind::Rumors,
-            Said::Delta(_) => MessageKind::Delta,
-            Said::Roots(_) => MessageKind::Roots,
-            Said::Buckets(_) => MessageKind::BucketDigests,
-            Said::Items(_) => MessageKind::BucketHashes,
-            Said::Want(_) => MessageKind::RecordRequest,
-            Said::CatchUp(_) => MessageKind::CatchUpRequest,
-            Said::Part(_) => MessageKind::CatchUpPage,
-            Said::Ask(_) => MessageKind::ClaimRequest,
-            Said::Reply(_) => MessageKind::ClaimReply,
+            Body::Rumors(_) => MessageKind::Rumors,
+            Body::Delta(_) => MessageKind::Delta,
+            Body::Roots(_) => MessageKind::Roots,
+            Body::BucketDigests(_) => MessageKind::BucketDigests,
+            Body::BucketHashes(_) => MessageKind::BucketHashes,
+            Body::RecordRequest(_) => MessageKind::RecordRequest,
+            Body::CatchUpRequest(_) => MessageKind::CatchUpRequest,
+            Body::CatchUpPage(_) => MessageKind::CatchUpPage,
+            Body::ClaimRequest(_) => MessageKind::ClaimRequest,
+            Body::ClaimReply(_) => MessageKind::ClaimReply,
         }
     }
 }
@@ -253,7 +253,7 @@
 
 /// Asks an owner of a key to grant a claim to its effect.
 #[derive(Clone, PartialEq, Message)]
-pub struct Ask {
+pub struct ClaimRequest {
     /// The number of the request, which the reply repeats.
     #[prost(uint64, tag = "1")]
     pub number: u64,
@@ -270,7 +270,7 @@
 
 /// An owner's answer to a request for a claim.
 #[derive(Clone, PartialEq, Message)]
-pub struct Reply {
+pub struct ClaimReply {
     /// The number of the request.
     #[prost(uint64, tag = "1")]
     pub number: u64,
--- a/crates/replica/tests/ledger.rs
+++ b/crates/replica/tests/ledger.rs
@@ -3,10 +3,12 @@
 //! once. The mark runs once at the most. Broken ones are found.
 
 use meadowrill_replica::kinds::{self, Kind, Ran};
-use meadowrill_replica::ledger::{entry, Electors, End, Ground, Ledger, Letter, Out, Terms, Word};
+use meadowrill_replica::ledger::{
+    entry, Electors, End, Ledger, OwnerRequest, StepInput, StepOutput, Terms, Word,
+};
 use meadowrill_replica::map::{Key, Map, Room};
 use meadowrill_replica::plan;
-use meadowrill_replica::wire::{Ask, Record, Reply};
+use meadowrill_replica::wire::{ClaimReply, ClaimRequest, Record};
 use meadowrill_replica::{Micros, SEC};
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
@@ -39,8 +41,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 enum Mail {
-    Ask(Ask),
-    Reply(Reply),
+    Ask(ClaimRequest),
+    Reply(ClaimReply),
 }
 
 #[derive(Clone, Debug)]
@@ -119,7 +121,7 @@
         &self,
         world: &mut World,
         n: usize,
-        step: impl FnOnce(&mut Ledger, &mut Ground, &mut Out, Broken) -> Option<(usize, Reply)>,
+        step: impl FnOnce(&mut Ledger, &mut StepInput, &mut StepOutput, Broken) -> Option<(usize, ClaimReply)>,
     ) {
         let here = |m: usize| world.nodes[m].runs && (!world.cut || side(m) == side(n));
         let start = |m: usize| here(m).then_some(if world.nodes[m].anew { 200 } else { 100 });
@@ -128,16 +130,16 @@
         let names = |m: usize| format!("front-{m}");
         let compared = if *vouches { (0..MANY).map(names).collect() } else { Default::default() };
         let electors = Electors { all, joined: true, compared };
-        let mut out = Out::default();
-        let reply = step(ledger, &mut Ground { now: NOW, map, electors: &electors }, &mut out, self.0);
+        let mut out = StepOutput::default();
+        let reply = step(ledger, &mut StepInput { now: NOW, map, electors: &electors }, &mut out, self.0);
         if let Some((to, reply)) = reply {
             world.mail.push((n, to, Mail::Reply(reply)));
         }
-        for Letter { to, ask } in out.letters {
+        for OwnerRequest { to, request } in out.requests {
             let to = to.strip_prefix("front-").and_then(|m| m.parse().ok()).expect("a front");
-            world.mail.push((n, to, Mail::Ask(ask)));
+            world.mail.push((n, to, Mail::Ask(request)));
         }
-        for word in out.words {
+        for word in out.decisions {
             if let Word::Go { token, .. } = word {
                 world.out.push((n, token));
             }
@@ -158,7 +160,7 @@
                     on.map.merge(key, entry(&record), on.now);
                     (verdict, claims) = (meadowrill_replica::ledger::Verdict::Granted, Vec::new());
                 }
-                Some((from, Reply { number: ask.number, verdict: verdict as u32, claims }))
+                Some((from, ClaimReply { number: ask.number, verdict: verdict as u32, claims }))
             }),
             Mail::Reply(reply) => self.step(world, to, |ledger, on, out, _| {
                 ledger.reply(&format!("front-{from}"), reply, on, out);
--- a/crates/replica/tests/merge.rs
+++ b/crates/replica/tests/merge.rs
@@ -6,7 +6,7 @@
 use meadowrill_replica::plan::Plan;
 use meadowrill_replica::replica::{Peer, Replica};
 use meadowrill_replica::snapshot::{self, Refused};
-use meadowrill_replica::wire::{read, write, write_chunk, Packet, Record, Records, Said};
+use meadowrill_replica::wire::{read, write, write_chunk, Body, Packet, Record, Records};
 use meadowrill_replica::{Micros, SEC};
 use proptest::prelude::*;
 
@@ -156,8 +156,8 @@
     };
     let mut bytes = Vec::new();
     for (high, held) in [(3, 3), (5, 5), (4, 5)] {
-        let news = Said::News(Records { records: vec![record(high, NOW + 10 * SEC)] });
-        write(&Packet { fleet: 0, from: "front-2".into(), start: 1, said: Some(news) }, &mut bytes);
+        let news = Body::Rumors(Records { records: vec![record(high, NOW + 10 * SEC)] });
+        write(&Packet { fleet: 0, from: "front-2".into(), start: 1, body: Some(news) }, &mut bytes);
         replica.hear(NOW, &bytes, &mut acts);
         let key = Key { kind: 9, name: b"later".to_vec() };
         assert_eq!(replica.map().get(&key).map(|e| e.rank.0), Some(held));
@@ -166,7 +166,7 @@
     replica.tick(NOW + SEC, &mut acts);
     let passed = acts.iter().any(|act| match act {
         meadowrill_replica::replica::Act::Send { bytes, .. } => read(bytes, 0).is_ok_and(
-            |p| matches!(p.said, Some(Said::News(news)) if news.records.iter().any(|r| r.kind == 9 && r.high == 5)),
+            |p| matches!(p.body, Some(Body::Rumors(news)) if news.records.iter().any(|r| r.kind == 9 && r.high == 5)),
         ),
         _ => false,
     });
@@ -209,7 +209,7 @@
 fn packet() -> Packet {
     let (key, entry) = kinds::purge(Some(0x7f3a), 0, NOW, 900 * SEC);
     let records = vec![meadowrill_replica::map::record(&key, &entry)];
-    Packet { fleet: 7, from: "front-1".into(), start: 5, said: Some(Said::News(Records { records })) }
+    Packet { fleet: 7, from: "front-1".into(), start: 5, body: Some(Body::Rumors(Records { records })) }
 }
 
 #[test]
