--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -87,11 +87,13 @@
         let operators = settings.own.socket.as_ref().map(|path| Operators::listen(Path::new(path), &poll));
         let publish = settings.relay.publish.as_ref();
         let journal = publish.map(|publish| Journal::unheard(publish.journal, publish.after, now));
+        let mut feed = Feed::new(&settings, now);
+        feed.behind(journal.as_ref().and_then(Journal::behind));
         let role = if publish.is_some() { "publisher" } else { "relay" };
         info!(log, "listening"; "at" => %datagrams.address()?, "role" => role,
             "relays" => settings.events.relays.len());
         Ok(Relay {
-            feed: Feed::new(&settings, now),
+            feed,
             log,
             clock,
             poll,
