Events: a relay stays with the publisher while it starts, and returns to it between others

Found by the rig with processes: a start of eight relays and 100 subscribers took 48 s until all held a lease, and the return of a publisher 32 s. Relays left the publisher after 1.6 s while it looked for what still binds (up to 2 s), asked each other, who all had no lease to hand on, with a patience that grew at each, and came back to the publisher after all others.

A relay now waits two leases for the publisher that answers, and between any two others asks it again. The test fails without the change.

--- a/crates/events/src/publisher.rs
+++ b/crates/events/src/publisher.rs
@@ -15,7 +15,7 @@
 use std::collections::VecDeque;
 
 /// How long a publisher that starts looks for what still binds at other relays.
-const RECOVERY_MOST: Micros = 2 * SECOND;
+pub const RECOVERY_MOST: Micros = 2 * SECOND;
 /// Out of touch with the service that tells it events, a publisher grants leases for so long.
 const BEHIND_MOST: Micros = 4 * SECOND;
 
--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -79,6 +79,8 @@
     /// Since when the current relay grants none, and how often that made this one turn to another.
     refused_since: Micros,
     refusals: u32,
+    /// Of a relay: how often it asked another than the one that publishes.
+    detours: usize,
     requests: VecDeque<Request>,
     next_request: u32,
     last_sent: Micros,
@@ -122,6 +124,7 @@
             without_since: Some(now),
             refused_since: now,
             refusals: 0,
+            detours: 0,
             requests: VecDeque::new(),
             next_request: 1,
             last_sent: now,
@@ -203,12 +206,11 @@
         if self.relays.len() < 2 {
             return;
         }
-        // Where all refuse, going from one to the other helps nobody: more and more patience.
-        let patience = self.plan.lease * Micros::from(1 + self.refusals);
-        let refuses = now - self.refused_since > patience;
+        let refuses = now - self.refused_since > self.patience();
         if self.unanswered >= self.plan.tries || refuses {
             self.refusals = (self.refusals + u32::from(refuses)).min(REFUSALS_MOST);
-            return self.switch(now, (self.current + 1) % self.relays.len(), out);
+            let next = self.next_relay();
+            return self.switch(now, next, out);
         }
         let fresh = self.lease_left(now).is_some_and(|left| left > self.plan.lease / 2);
         if self.current != 0 && fresh && now >= self.home_at {
@@ -216,6 +218,35 @@
         }
     }
 
+    /// How long one that answers may go on without granting a lease. Where all refuse, going from one to the other helps
+    /// nobody: more and more patience. One that publishes needs up to [`crate::publisher::RECOVERY_MOST`] after its start,
+    /// and no relay has a lease to hand on before that.
+    fn patience(&self) -> Micros {
+        let leases = match (self.role, self.is_on_detour()) {
+            (Role::Relay, true) => 1,
+            (Role::Relay, false) => 2 + self.refusals,
+            (Role::Front, _) => 1 + self.refusals,
+        };
+        self.plan.lease * Micros::from(leases)
+    }
+
+    /// A relay that asks another than the one that publishes: all others wait for that one too.
+    fn is_on_detour(&self) -> bool {
+        self.role == Role::Relay && self.current != 0
+    }
+
+    /// Fronts ask one after the other; a relay asks the one that publishes again between any two others.
+    fn next_relay(&mut self) -> usize {
+        if self.is_on_detour() {
+            return 0;
+        }
+        if self.role == Role::Front {
+            return (self.current + 1) % self.relays.len();
+        }
+        self.detours += 1;
+        1 + self.detours % (self.relays.len() - 1)
+    }
+
     fn switch(&mut self, now: Micros, to: usize, out: &mut Vec<Output>) {
         let from = self.relay_name();
         self.current = to;
--- a/crates/events/tests/regressions.rs
+++ b/crates/events/tests/regressions.rs
@@ -400,3 +400,18 @@
     relay.tick(START + 200 * MILLISECOND, &mut out);
     assert_eq!(grants(&out).iter().map(|grant| grant.lease_us).collect::<Vec<_>>(), [0]);
 }
+
+/// Relays left the one that publishes while it began, asked each other in turns that grew longer, and came back to it late.
+#[test]
+fn a_start_of_all_and_a_return_of_the_publisher_settle_within_seconds() {
+    for seed in 0..4 {
+        let mut network = Network::new(8, 24, seed);
+        network.run(6 * SECOND).unwrap();
+        network.settled().unwrap();
+        network.kill(0);
+        network.run(10 * SECOND).unwrap();
+        network.start(0);
+        network.run(6 * SECOND).unwrap();
+        network.settled().unwrap();
+    }
+}
