--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -1,11 +1,13 @@
 //! The following side: a front, or a relay towards the one that feeds it. It asks one relay for events and for a lease,
 //! applies events in order, and turns to another relay where the first one fails.
 
+use crate::early::{EarlyBatch, EarlyBatches};
 use crate::event::{Epoch, Event, LogPosition};
+use crate::fetch::{Fetch, Progress, Reach};
 use crate::log::EventLog;
 use crate::output::{Counters, Notice, Output, Rejected, SubscriberStatus};
 use crate::plan::{Identity, Plan, RelayAddress, MILLISECOND, RELAYS_IN_LINE, SECOND};
-use crate::purges::{Cursor, PurgeSet};
+use crate::purges::PurgeSet;
 use crate::wire::{self, Batch, Body, Busy, Grant, Heartbeat, SnapshotPart, SnapshotPlace};
 use crate::{mutant, Micros};
 use meadowrill_members::rings::hash;
@@ -20,8 +22,8 @@
 /// The pause between tries while no relay answers, drawn from this range.
 const ALONE_LEAST: Micros = SECOND / 2;
 const ALONE_MOST: Micros = 3 * SECOND / 2;
-/// Refusals that add to the patience with one relay.
-const REFUSALS_MOST: u32 = 8;
+/// Refusals that add to the patience of a front with one relay.
+const REFUSALS_MOST: u32 = 3;
 /// The first request number is drawn below this, so that answers to an earlier start match none.
 const FIRST_REQUEST_MOST: u32 = 1 << 20;
 
@@ -48,17 +50,6 @@
     sent: Micros,
 }
 
-/// A snapshot under way.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Fetch {
-    began: Micros,
-    /// Everything up to here has come.
-    cursor: Option<Cursor>,
-    /// The least position of those who wrote the parts: the log goes on from there.
-    at: LogPosition,
-    purges: u64,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Subscriber {
     plan: Plan,
@@ -79,8 +70,8 @@
     /// Since when the current relay grants none, and how often that made this one turn to another.
     refused_since: Micros,
     refusals: u32,
-    /// Of a relay: how often it asked another than the one that publishes.
-    detours: usize,
+    /// How often a relay has turned to another one beside the publisher.
+    asked_beside: usize,
     requests: VecDeque<Request>,
     next_request: u32,
     last_sent: Micros,
@@ -89,7 +80,12 @@
     unanswered: u32,
     unanswered_by_all: u32,
     gap: bool,
+    /// When something was last asked for again.
+    asked_again: Option<Micros>,
+    early: EarlyBatches,
     fetch: Option<Fetch>,
+    /// The last snapshot may hold events up to here, and more than all up to the own position.
+    snapshot_reached: Option<LogPosition>,
     home_at: Micros,
     seed: u64,
     draws: u64,
@@ -124,7 +120,7 @@
             without_since: Some(now),
             refused_since: now,
             refusals: 0,
-            detours: 0,
+            asked_beside: 0,
             requests: VecDeque::new(),
             next_request: 1,
             last_sent: now,
@@ -132,7 +128,10 @@
             unanswered: 0,
             unanswered_by_all: 0,
             gap: false,
+            asked_again: None,
+            early: EarlyBatches::default(),
             fetch: None,
+            snapshot_reached: None,
             home_at: now,
             seed,
             draws: 0,
@@ -156,6 +155,11 @@
         self.log.position()
     }
 
+    /// The own position, once all purges that are held are of events before it.
+    pub(crate) fn complete_position(&self) -> Option<LogPosition> {
+        self.log.position().filter(|at| Some(*at) >= self.snapshot_reached)
+    }
+
     pub fn leased(&self, now: Micros) -> bool {
         self.lease_left(now).is_some()
     }
@@ -206,9 +210,11 @@
         if self.relays.len() < 2 {
             return;
         }
-        let refuses = now - self.refused_since > self.patience();
+        // Where all refuse, going from one to the other helps nobody: more and more patience.
+        let patience = self.plan.lease * Micros::from(1 + self.refusals);
+        let refuses = now - self.refused_since > patience;
         if self.unanswered >= self.plan.tries || refuses {
-            self.refusals = (self.refusals + u32::from(refuses)).min(REFUSALS_MOST);
+            self.refusals = (self.refusals + u32::from(refuses)).min(self.refusals_most());
             let next = self.next_relay();
             return self.switch(now, next, out);
         }
@@ -218,33 +224,27 @@
         }
     }
 
-    /// How long one that answers may go on without granting a lease. Where all refuse, going from one to the other helps
-    /// nobody: more and more patience. One that publishes needs up to [`crate::publisher::RECOVERY_MOST`] after its start,
-    /// and no relay has a lease to hand on before that.
-    fn patience(&self) -> Micros {
-        let leases = match (self.role, self.is_on_detour()) {
-            (Role::Relay, true) => 1,
-            (Role::Relay, false) => 2 + self.refusals,
-            (Role::Front, _) => 1 + self.refusals,
-        };
-        self.plan.lease * Micros::from(leases)
-    }
-
-    /// A relay that asks another than the one that publishes: all others wait for that one too.
-    fn is_on_detour(&self) -> bool {
-        self.role == Role::Relay && self.current != 0
-    }
-
-    /// Fronts ask one after the other; a relay asks the one that publishes again between any two others.
+    /// A relay without a lease asks the publisher again after each other relay: those that follow one another in a ring
+    /// would else wait for each other.
     fn next_relay(&mut self) -> usize {
-        if self.is_on_detour() {
+        if self.role == Role::Relay && self.current != 0 {
             return 0;
         }
-        if self.role == Role::Front {
-            return (self.current + 1) % self.relays.len();
+        let others = self.relays.len() - 1;
+        match self.role {
+            Role::Front => (self.current + 1) % self.relays.len(),
+            Role::Relay => {
+                self.asked_beside += 1;
+                1 + (self.asked_beside - 1) % others
+            }
+        }
+    }
+
+    fn refusals_most(&self) -> u32 {
+        match self.role {
+            Role::Front => REFUSALS_MOST,
+            Role::Relay => 0,
         }
-        self.detours += 1;
-        1 + self.detours % (self.relays.len() - 1)
     }
 
     fn switch(&mut self, now: Micros, to: usize, out: &mut Vec<Output>) {
@@ -261,6 +261,10 @@
     fn send_heartbeat(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(to) = self.relays.get(self.current).map(|relay| relay.address) else { return };
         let at = self.log.position().map(Into::into);
+        let gap = std::mem::take(&mut self.gap);
+        if gap {
+            self.asked_again = Some(now);
+        }
         let heartbeat = Heartbeat {
             name: self.me.name.clone(),
             incarnation: self.me.incarnation,
@@ -268,7 +272,7 @@
             request: self.next_request,
             at,
             acknowledged: self.acknowledged.map(Into::into),
-            gap: std::mem::take(&mut self.gap),
+            gap,
             cursor: self.fetch.as_ref().and_then(|fetch| fetch.cursor).map(SnapshotPlace::of),
             snapshot: self.fetch.is_some(),
         };
@@ -332,9 +336,11 @@
             return Err(Rejected::Bounds);
         }
         let published = now - Micros::from(batch.age_ms) * MILLISECOND;
-        let followed = self.follow_epoch(now, place, &batch, out);
-        let taken =
-            followed.and_then(|()| self.take_events(now, published, place, events, batch.events, out));
+        let taken = self.follow_epoch(now, place, &batch, out);
+        if taken.is_ok() {
+            let early = EarlyBatch { first: place.position, events, packed: batch.events, published };
+            self.take_events(now, place.epoch, early, out);
+        }
         self.head = self.head.max(Some(LogPosition { position: batch.head, ..place }));
         if let Some(grant) = batch.grant {
             self.take_grant(now, grant, out)?;
@@ -361,6 +367,7 @@
         let linked = follows.is_some_and(|f| f.epoch == at.epoch && at.position >= f.position);
         if (linked && place.position == 0) || place.epoch < at.epoch {
             self.log.begin(place.epoch, follows);
+            self.early.clear();
             let at = LogPosition { position: 0, ..place };
             out.push(Output::Notice(Notice::NewEpoch { at }));
             return Ok(());
@@ -373,38 +380,44 @@
         Err(Rejected::Unexpected)
     }
 
-    fn take_events(
-        &mut self,
-        now: Micros,
-        published: Micros,
-        place: LogPosition,
-        events: Vec<Event>,
-        packed: Vec<u8>,
-        out: &mut Vec<Output>,
-    ) -> Result<(), Rejected> {
-        let Some(at) = self.log.position().filter(|at| at.epoch == place.epoch) else { return Ok(()) };
+    fn take_events(&mut self, now: Micros, epoch: Epoch, batch: EarlyBatch, out: &mut Vec<Output>) {
+        let Some(at) = self.log.position().filter(|at| at.epoch == epoch) else { return };
         // A batch without events tells what was sent before it.
         let tolerated = u64::from(mutant("resume-off-by-one"));
-        if place.position > at.position + tolerated {
+        if batch.first > at.position + tolerated {
             self.counters.gaps += 1;
+            self.early.insert(batch);
             self.ask_again(now);
-            return Ok(());
+            return;
+        }
+        self.take_in_order(batch, out);
+        while let Some(batch) = self.log.position().and_then(|at| self.early.take(at.position)) {
+            self.take_in_order(batch, out);
         }
-        let known = at.position.saturating_sub(place.position);
+        if self.log.position() > Some(at) {
+            self.gap = !self.early.is_empty();
+        }
+    }
+
+    /// A batch that begins no later than the log ends: what of it is new.
+    fn take_in_order(&mut self, batch: EarlyBatch, out: &mut Vec<Output>) {
+        let at = self.log.position().map_or(0, |at| at.position);
+        let EarlyBatch { first, events, packed, published } = batch;
+        let known = at.saturating_sub(first);
         if known >= events.len() as u64 {
-            return Ok(());
+            return;
         }
         self.counters.batches += 1;
         self.counters.events += events.len() as u64 - known;
         let fresh = self.log.append_rest(published, known as usize, &events, packed);
         out.extend(fresh.into_iter().map(Output::Apply));
-        Ok(())
     }
 
-    /// A heartbeat at once, but no more than one in half of a batch's time.
+    /// A heartbeat at once, but not before what the last one asked for can be here: it would all be sent once more.
     fn ask_again(&mut self, now: Micros) {
         self.gap = true;
-        let soonest = now.max(self.last_sent + self.plan.batch / 2);
+        let answered = self.asked_again.map_or(now, |asked| asked + self.plan.retry);
+        let soonest = now.max(self.last_sent + self.plan.batch / 2).max(answered);
         self.next_heartbeat = self.next_heartbeat.min(soonest);
     }
 
@@ -441,7 +454,8 @@
     fn receive_busy(&mut self, now: Micros, busy: Busy, out: &mut Vec<Output>) -> Result<(), Rejected> {
         self.answered(busy.request)?;
         if busy.full && self.relays.len() > 1 {
-            self.switch(now, (self.current + 1) % self.relays.len(), out);
+            let next = self.next_relay();
+            self.switch(now, next, out);
         }
         let pause = Micros::from(busy.retry_ms) * 1000;
         self.next_heartbeat = now + pause.clamp(self.plan.retry, 10 * SECOND);
@@ -458,21 +472,26 @@
         if self.log.position().is_some_and(|at| writer.epoch < at.epoch) {
             return Err(Rejected::OldEpoch);
         }
-        let after = part.after.and_then(SnapshotPlace::cursor);
-        if self.fetch.is_none() && (after.is_some() || self.answered(part.request).is_err()) {
+        if self.fetch.as_ref().is_some_and(|fetch| writer.epoch < fetch.at.epoch) {
+            return Err(Rejected::OldEpoch);
+        }
+        let events = wire::unpack(&part.events)?;
+        if self.answered(part.request).is_err() && self.fetch.is_none() {
             return Err(Rejected::Unexpected);
         }
-        if self.fetch.is_none() || self.fetch.as_ref().is_some_and(|fetch| fetch.at.epoch != writer.epoch) {
+        if self.fetch.as_ref().is_none_or(|fetch| fetch.at.epoch != writer.epoch) {
             self.begin_fetch(now, writer, out);
         }
-        let _ = self.answered(part.request);
-        let Some(fetch) = self.fetch.as_mut().filter(|fetch| fetch.cursor == after) else {
+        let Some(fetch) = self.fetch.as_mut() else { return Err(Rejected::Unexpected) };
+        let after = part.after.and_then(SnapshotPlace::cursor);
+        let next = part.next.and_then(SnapshotPlace::cursor);
+        let progress = fetch.take(after, Reach { next, is_paused: part.paused });
+        if progress == Progress::None {
             return Err(Rejected::Unexpected);
-        };
-        let events = wire::unpack(&part.events)?;
+        }
         fetch.at = fetch.at.min(writer);
+        fetch.reached = fetch.reached.max(writer);
         fetch.purges += events.len() as u64;
-        fetch.cursor = part.next.and_then(SnapshotPlace::cursor);
         if let Some(floor) = part.floor {
             self.log.purges.raise_floor(floor);
         }
@@ -481,18 +500,19 @@
                 out.push(Output::Apply(Event::Purge(purge)));
             }
         }
-        if part.next.is_none() {
-            self.finish_fetch(now, out);
-        } else {
-            self.refused_since = now;
-            self.next_heartbeat = if part.paused { now } else { now + self.plan.retry };
+        match progress {
+            Progress::Done => self.finish_fetch(now, out),
+            Progress::Paused => self.next_heartbeat = now,
+            Progress::Going => self.next_heartbeat = now + self.plan.retry,
+            Progress::Early | Progress::None => {}
         }
+        self.refused_since = now;
         Ok(())
     }
 
     fn begin_fetch(&mut self, now: Micros, at: LogPosition, out: &mut Vec<Output>) {
         let began = self.fetch.as_ref().map_or(now, |fetch| fetch.began);
-        self.fetch = Some(Fetch { began, cursor: None, at, purges: 0 });
+        self.fetch = Some(Fetch::new(began, at));
         self.counters.snapshots += 1;
         out.push(Output::Notice(Notice::SnapshotBegun { relay: self.relay_name() }));
     }
@@ -502,8 +522,11 @@
         // A relay that is behind this one may have written a part: what was applied before still counts.
         fetch.at = self.log.position().map_or(fetch.at, |own| own.max(fetch.at));
         self.log.reset(fetch.at);
+        self.snapshot_reached = Some(fetch.reached);
+        self.early.clear();
+        // Parts that are still under way begin no new one.
+        self.requests.clear();
         self.next_heartbeat = now;
-        self.refused_since = now;
         let (purges, took, at) = (fetch.purges, now - fetch.began, fetch.at);
         out.push(Output::Notice(Notice::SnapshotDone { purges, took, at }));
     }
