Measures what each cost grows with, fits it, and extends it to the target size

Nothing told what the costs of a front become at 5,000 fronts and 120 purges a second. The new area `make measure AREA=scale` measures each cost at five sizes or more, picks a form by least squares, and writes points and fits to a Parquet file and a plot for each slope. The modules of the other areas move into a library, so that the fit has tests of its own; the program that runs the area counts its memory with an allocator that the other areas do not carry.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -1,17 +1,11 @@
 //! `measure AREA`: lines `name: value (goal)`; exit code 1 when a goal is missed. Long, so not part of the tests, but for
 //! `measure guard`.
 
-mod figures;
-mod fleet;
-mod guard;
-mod path;
-mod replica;
-mod turns;
-
 use clap::{Parser, Subcommand};
-use figures::Figures;
+use meadowrill_measure::figures::Figures;
+use meadowrill_measure::{fleet, guard, path, replica, turns};
 use std::path::PathBuf;
-use std::process::ExitCode;
+use std::process::{Command, ExitCode};
 
 #[derive(Debug, Subcommand)]
 enum Area {
@@ -35,6 +29,12 @@
         #[arg(long, default_value_t = 1000)]
         schedules: u64,
     },
+    /// What each role's costs grow to at the size that is planned for (docs/CAPACITY.md)
+    Scale {
+        /// Options of the `scale` program
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        options: Vec<String>,
+    },
     /// Fair turns at the door
     Turns,
     /// Fails when a count of the ordinary path has risen by more than ten percent
@@ -55,6 +55,19 @@
     area: Area,
 }
 
+/// The program beside this one whose allocator counts: that would weigh on the figures of other areas.
+fn scale(options: &[String]) -> ExitCode {
+    let here = std::env::current_exe().unwrap_or_default();
+    match Command::new(here.with_file_name("scale")).args(options).status() {
+        Ok(status) if status.success() => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("measure: scale: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let mut figures = Figures::default();
     match Cli::parse().area {
@@ -68,6 +81,7 @@
         }
         Area::Replica { schedules } => replica::measure(&mut figures, schedules),
         Area::Path => path::measure(&mut figures),
+        Area::Scale { options } => return scale(&options),
         Area::Turns => turns::measure(&mut figures),
         Area::Guard { file, accept } => match guard::guard(&file, accept) {
             Ok(risen) if risen.is_empty() => return ExitCode::SUCCESS,
