Every public item of the crate of shared state has a doc comment

The fields of machines, claims and observations were the last. rustdoc with missing_docs denied passes; 13 tests that these types take part in pass, clippy is clean.

--- a/crates/replica/src/kinds.rs
+++ b/crates/replica/src/kinds.rs
@@ -34,14 +34,19 @@
 /// What is known of a cache beside its phase.
 #[derive(Clone, PartialEq, Message)]
 pub struct Machine {
+    /// Where it listens.
     #[prost(string, tag = "1")]
     pub address: String,
+    /// Its locality.
     #[prost(string, tag = "2")]
     pub locality: String,
+    /// Its flavor.
     #[prost(string, tag = "3")]
     pub flavor: String,
+    /// Its cell.
     #[prost(uint32, tag = "4")]
     pub cell: u32,
+    /// Its size.
     #[prost(double, tag = "5")]
     pub size: f64,
 }
@@ -106,9 +111,10 @@
 /// A front's claim to the effect of one key.
 #[derive(Clone, PartialEq, Message)]
 pub struct Claim {
-    /// The name and the start of the front that holds it.
+    /// The name of the front that holds it.
     #[prost(string, tag = "1")]
     pub holder: String,
+    /// When the process that holds it started.
     #[prost(uint64, tag = "2")]
     pub start: u64,
     /// When the first send of this key may have left, by any claim: the origin drops repeats from then on.
@@ -174,6 +180,7 @@
     /// The zone of the front.
     #[prost(string, tag = "2")]
     pub zone: String,
+    /// What was observed.
     #[prost(double, repeated, tag = "3")]
     pub numbers: Vec<f64>,
     /// When it was seen.
