Events: back to the relay that granted where the preferred one is silent; long recoveries; clocks that step

Change: the relay that granted is asked next; recovery goes on while parts come, 20 s at the most. Drawn schedules step any clock by an hour.

--- a/crates/events/src/publisher.rs
+++ b/crates/events/src/publisher.rs
@@ -14,8 +14,10 @@
 use crate::{mutant, Micros};
 use std::collections::VecDeque;
 
-/// How long a publisher that starts looks for what still binds at other relays.
+/// How long a publisher that starts looks for what still binds at other relays; and while a snapshot goes on, how long it
+/// waits for the next part, and for all.
 const RECOVERY_MOST: Micros = 2 * SECOND;
+const RECOVERY_LONGEST: Micros = 20 * SECOND;
 /// Out of touch with the service that tells it events, a publisher grants leases for so long.
 const BEHIND_MOST: Micros = 4 * SECOND;
 
@@ -182,6 +184,11 @@
     /// Goes over from recovery to publishing, once all is there or the time is over.
     fn recover(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(recovery) = &mut self.recovery else { return };
+        let is_room = self.pending.len() < self.plan.purges_most;
+        if let Some(fetched_at) = recovery.fetched_at().filter(|_| is_room) {
+            let until = (fetched_at + RECOVERY_MOST).min(self.started + RECOVERY_LONGEST);
+            self.recovery_until = self.recovery_until.max(until);
+        }
         // Behind it, others may lack what is held here and is not published again.
         let found = recovery.complete_position();
         if found.is_none() && now < self.recovery_until {
--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -72,6 +72,8 @@
     /// Since when the current relay grants none, and how often that made this one turn to another.
     refused_since: Micros,
     refusals: u32,
+    /// The relay that was asked as the last lease came.
+    granted_by: Option<usize>,
     /// How often a relay has turned to another one beside the publisher.
     asked_beside: usize,
     requests: VecDeque<Request>,
@@ -123,6 +125,7 @@
             without_since: Some(now),
             refused_since: now,
             refusals: 0,
+            granted_by: None,
             asked_beside: 0,
             requests: VecDeque::new(),
             next_request: 1,
@@ -163,6 +166,11 @@
         self.log.position().filter(|at| Some(*at) >= self.snapshot_reached)
     }
 
+    /// When the last part of a snapshot that is under way came.
+    pub(crate) fn fetched_at(&self) -> Option<Micros> {
+        self.fetch.as_ref().map(|_| self.refused_since)
+    }
+
     pub fn leased(&self, now: Micros) -> bool {
         self.lease_left(now).is_some()
     }
@@ -230,6 +238,10 @@
     /// A relay without a lease asks the publisher again after each other relay: those that follow one another in a ring
     /// would else wait for each other.
     fn next_relay(&mut self) -> usize {
+        // Where the preferred one does not answer, back to the one that did.
+        if let Some(granted_by) = self.granted_by.take().filter(|relay| *relay != self.current) {
+            return granted_by;
+        }
         if self.role == Role::Relay && self.current != 0 {
             return 0;
         }
@@ -441,6 +453,7 @@
         }
         self.hops = grant.hops.saturating_add(1);
         (self.refused_since, self.refusals) = (now, 0);
+        self.granted_by = Some(self.current);
         let from = if mutant("lease-from-arrival") { now } else { request.sent };
         let until = from + Micros::from(grant.lease_us).min(self.plan.lease);
         self.lease_until = self.lease_until.max(Some(until));
--- a/crates/events/tests/regressions.rs
+++ b/crates/events/tests/regressions.rs
@@ -408,6 +408,54 @@
     assert_eq!(network.first_behind(0), None);
 }
 
+/// The last one of three answers. Each time the preferred one is tried and does not answer, the front is back there before its
+/// lease is over.
+#[test]
+fn a_try_of_the_preferred_relay_costs_no_lease() {
+    let mut front = front_at(3, 5, 7);
+    let preferred = front.status(START).relay;
+    let (mut now, mut second, mut lapses_before) = (START, None, 0);
+    while now < START + 120 * SECOND {
+        now += 10 * MILLISECOND;
+        let Some(heartbeat) = heartbeat_of(&mut front, now) else { continue };
+        let relay = front.status(now).relay;
+        if relay == preferred || *second.get_or_insert(relay.clone()) == relay {
+            continue;
+        }
+        let grant = Some(Grant { request: heartbeat.request, lease_us: 1_600_000, hops: 1 });
+        tell(&mut front, now, Body::Batch(Batch { epoch: 5, first: 7, head: 7, grant, ..Batch::default() }));
+        if lapses_before == 0 {
+            lapses_before = front.status(now).counters.lapses + 1;
+        }
+    }
+    let counters = front.status(now).counters;
+    assert!(counters.switches > 6, "{counters:?}");
+    assert_eq!(counters.lapses + 1, lapses_before);
+}
+
+/// Where the way is long a snapshot takes longer than the time in which the first part has to come.
+#[test]
+fn a_publisher_waits_for_a_snapshot_that_goes_on() {
+    let mut publisher = Publisher::new(plan(2), RelayPlan::default(), identity("relay-0", 0), START, 1);
+    let mut out = Vec::new();
+    publisher.tick(START, &mut out);
+    let request = bodies(&out)
+        .into_iter()
+        .find_map(|body| match body {
+            Body::Heartbeat(heartbeat) => Some(heartbeat.request),
+            _ => None,
+        })
+        .expect("the first heartbeat");
+    let next = Some(SnapshotPlace::of((START - SECOND, PurgeKey::Object(1))));
+    let part = SnapshotPart { at: place(5, 10), next, request, ..SnapshotPart::default() };
+    let came = START + 3 * SECOND / 2;
+    publisher.receive(came, &wire::write(FLEET, Body::SnapshotPart(part)), &mut out);
+    publisher.tick(came + SECOND, &mut out);
+    assert_eq!(publisher.published().epoch, Epoch::default());
+    publisher.tick(came + 3 * SECOND, &mut out);
+    assert!(publisher.published().epoch > Epoch(5));
+}
+
 /// What a relay still holds of a former epoch is sent, also to one that could go on without it.
 #[test]
 fn the_rest_of_a_former_epoch_is_sent_first() {
--- a/crates/events/tests/simulation/schedule.rs
+++ b/crates/events/tests/simulation/schedule.rs
@@ -11,6 +11,7 @@
 /// Datagrams that a slow subscriber reads in one step of 5 ms, at the most.
 const SLOW_READS: usize = 1;
 const BURST: usize = 5_000;
+const HOUR: Micros = 3_600 * SECOND;
 /// The largest difference between two clocks that the plan allows, less rounding: half of it to each side.
 const DRIFT_PPM_MOST: i64 = 4_900;
 
@@ -38,6 +39,8 @@
     KillPublisherAndRelays,
     /// Its clock is behind at its next start.
     StepBackPublisher,
+    /// A clock is an hour ahead or behind at the next start.
+    StepClock,
     /// The service tells nothing for a while after a start.
     LateService,
     SlowFronts,
@@ -47,7 +50,7 @@
     Burst,
 }
 
-const ALL: [Fault; 16] = [
+const ALL: [Fault; 17] = [
     Fault::KillOne,
     Fault::PauseOne,
     Fault::CutOne,
@@ -59,6 +62,7 @@
     Fault::PausePublisher,
     Fault::KillPublisherAndRelays,
     Fault::StepBackPublisher,
+    Fault::StepClock,
     Fault::LateService,
     Fault::SlowFronts,
     Fault::WithoutEvents,
@@ -162,10 +166,15 @@
             killed(network, &gone)
         }
         Fault::StepBackPublisher => {
-            network.nodes[0].clock_offset -= 3_600 * SECOND;
+            network.nodes[0].clock_offset -= HOUR;
             let gone: Vec<usize> = if network.rng.bool() { vec![0] } else { (0..network.relays).collect() };
             killed(network, &gone)
         }
+        Fault::StepClock => {
+            let ahead = if network.rng.bool() { HOUR } else { -HOUR };
+            network.nodes[one].clock_offset += ahead;
+            killed(network, &[one])
+        }
         Fault::LateService => {
             network.service_delay = network.rng.i64(1..=6) * SECOND;
             killed(network, &[0])?;
