--- a/crates/events/src/distributor.rs
+++ b/crates/events/src/distributor.rs
@@ -49,7 +49,6 @@
     sent: Option<LogPosition>,
     /// The last heartbeat has not been answered since then.
     unanswered_since: Option<Micros>,
-    sent_again_at: Option<Micros>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -77,12 +76,23 @@
     }
 
     /// Everything up to here has been applied by this member and by all that hold a lease of it. Whoever is behind gets
-    /// no lease from now on.
-    pub fn report(&mut self, own: LogPosition) -> LogPosition {
-        self.leases.report(own)
+    /// no lease from now on. Those that wait for their first lease and do not lag are not put behind by it: else none
+    /// would come up with a log that grows with each batch.
+    pub fn report(&mut self, now: Micros, log: &EventLog, own: LogPosition) -> LogPosition {
+        let due = log.reached_by(now - self.plan.lag_most);
+        let waiting =
+            self.subscriptions.values().filter(|subscription| subscription.is_live(now, &self.plan));
+        let waiting = waiting.filter(|subscription| due.is_none_or(|due| subscription.at >= Some(due)));
+        let least = waiting.filter_map(|subscription| subscription.acknowledged).fold(own, LogPosition::min);
+        self.leases.report(least)
+    }
+
+    /// Before the first lease: whoever is behind this gets none.
+    pub fn bar_behind(&mut self, at: LogPosition) {
+        self.leases.report(at);
     }
 
-    /// A heartbeat of a subscriber. The epoch that it is in, where that is newer than any known here.
+    /// A heartbeat of a subscriber. The epoch that it is in, or one that it feeds, where that is later than the one here.
     pub fn heartbeat(
         &mut self,
         now: Micros,
@@ -98,6 +108,7 @@
         if !self.subscriptions.contains_key(&heartbeat.name) {
             self.admit(now, &heartbeat, address, out)?;
         }
+        let later = Some(Epoch(heartbeat.later_epoch)).filter(|later| *later > head.epoch);
         let Some(subscription) = self.subscriptions.get_mut(&heartbeat.name) else { return Ok(None) };
         let at = heartbeat.at.map(LogPosition::from);
         if at.is_some_and(|at| at.epoch == head.epoch && at.position > head.position) {
@@ -112,14 +123,14 @@
         }
         let Some(at) = subscription.at.filter(|_| !heartbeat.snapshot) else {
             self.send_snapshot(now, &heartbeat, address, supply.log, out);
-            return Ok(None);
+            return Ok(later);
         };
         match supply.log.next_after(at) {
             Next::Missing => self.send_snapshot(now, &heartbeat, address, supply.log, out),
-            Next::Ahead => return Ok(Some(at.epoch)),
+            Next::Ahead => return Ok(later.max(Some(at.epoch))),
             Next::Batch { .. } | Next::Epoch { .. } | Next::UpToDate => {}
         }
-        Ok(None)
+        Ok(later)
     }
 
     fn answer_without_lease(
@@ -159,7 +170,6 @@
             acknowledged: None,
             sent: None,
             unanswered_since: None,
-            sent_again_at: None,
         };
         self.subscriptions.insert(heartbeat.name.clone(), subscription);
         Ok(())
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -2,6 +2,7 @@
 //! decides nothing: time limits are those that the module or the settings give.
 
 mod actions;
+pub(crate) mod availability;
 mod events;
 mod fleet;
 mod list;
@@ -11,6 +12,7 @@
 mod shared;
 mod timer;
 
+use self::availability::Availability;
 use self::lookups::{Effect, Taken};
 use self::timer::Timer;
 use crate::clock::Clock;
@@ -73,6 +75,7 @@
     door: Door,
     names: Names,
     metrics: Metrics,
+    availability: Availability,
     operators: Option<Operators>,
     /// The others of the fleet, where the settings tell of one, and when its view wants to be asked next.
     fronts: Option<Fronts>,
@@ -142,6 +145,7 @@
             door: Door::new(config.own.turns.clone(), &kinds, bounds, config.seed, now),
             names: Names::new(&config.own.turns, config.seed),
             metrics: Metrics::default(),
+            availability: Availability::default(),
             operators: operators.transpose()?,
             fronts: fronts.transpose()?,
             fleet_at: 0,
@@ -311,11 +315,11 @@
             Key::Report => report::log(&self.log, &self.door.report()),
             Key::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.poll)),
             Key::Operator(number) => {
-                let (door, metrics) = (&self.door, &self.metrics);
+                let (door, metrics, availability) = (&self.door, &self.metrics, &self.availability);
                 let (calls, counts, fronts) = (&self.poll.calls, self.counts, &self.fronts);
                 let tell = |word: &str| match word {
                     "turns" => report::table(&door.report()),
-                    "metrics" => metrics.text(door, fronts.as_ref(), now),
+                    "metrics" => metrics.text(door, availability, fronts.as_ref(), now),
                     "fleet events" | "fleet events json" => {
                         match fronts.as_ref().and_then(report::events::SubscriptionReport::new) {
                             None => "no fleet { events { } } in the settings\n".to_string(),
@@ -434,6 +438,7 @@
         self.clients.sweep(now, &mut self.poll);
         self.follow(now, |journal, poll, news| journal.keep_up(now, poll, news));
         if !self.ending {
+            self.check_availability(now);
             self.keep(now);
         }
         self.timers.push(Reverse((now + TICK, Timer::Tick)));
