--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod baselines;
 pub mod check;
 pub mod effects;
+pub mod events;
 pub mod fleet;
 pub mod model;
 pub mod relay;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,11 +1,16 @@
 //! Plays scripts of faults against processes of the program.
 
 use clap::{Parser, Subcommand};
+use meadowrill_rig::events::protocol::Sabotage;
+use meadowrill_rig::events::run::{play_run, Setup};
+use meadowrill_rig::events::scenario::{Length, Scenario, NAMES};
+use meadowrill_rig::events::subscribers::hold_subscribers;
 use meadowrill_rig::script::{draw, play, shrink, Tools};
 use meadowrill_rig::shared::first_wrong;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
+use std::time::Duration;
 
 /// Starts fleets of meadowrill on loopback, breaks things between them, and checks what they make of it
 #[derive(Debug, Parser)]
@@ -52,6 +57,44 @@
         #[arg(long, default_value = "rig-failures")]
         keep: PathBuf,
     },
+    /// Distribute purges through relays to hollow subscribers under a scenario of faults, and check what they recorded
+    Events {
+        /// One of those that the library names, such as `calm` or `region-cut`
+        scenario: String,
+        #[arg(long, default_value_t = 300)]
+        subscribers: usize,
+        /// Processes among which they are shared; one for each thousand if not told
+        #[arg(long)]
+        processes: Option<usize>,
+        #[arg(long, default_value_t = 8)]
+        relays: usize,
+        /// Purges a second
+        #[arg(long, default_value_t = 120)]
+        rate: u32,
+        /// Seconds of `calm`
+        #[arg(long)]
+        seconds: Option<u64>,
+        /// Short spans, as in tests
+        #[arg(long)]
+        short: bool,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Subscribers that are broken on purpose
+        #[arg(long)]
+        sabotage: Option<Sabotage>,
+        /// For builds with the feature `mutants`: the fault to play with
+        #[arg(long)]
+        mutant: Option<String>,
+        /// Stands in `events { ... }` of each relay
+        #[arg(long, default_value = "")]
+        settings: String,
+        /// Where the relays' logs of a failed run are put
+        #[arg(long, default_value = "rig-failures/events")]
+        keep: PathBuf,
+    },
+    /// Hold hollow subscribers, as the driver of a run says by its standard input
+    #[command(hide = true)]
+    Subscribers { plan: String },
     /// Run a program that ends when the process of that number does
     #[command(hide = true)]
     Hold {
@@ -73,6 +116,35 @@
     ExitCode::FAILURE
 }
 
+fn subscribers(plan: &str) -> ExitCode {
+    let held = serde_json::from_str(plan).map_err(std::io::Error::other).and_then(hold_subscribers);
+    match held {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("subscribers: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays one run; what it found goes to standard output.
+fn events(setup: Setup) -> ExitCode {
+    let what = format!("{}, {} subscribers, seed {}", setup.scenario.name, setup.subscribers, setup.seed);
+    match play_run(setup) {
+        Ok(outcome) => {
+            let failures = outcome.failures();
+            println!("{what}: {}", if failures.is_empty() { "held" } else { "did NOT hold" });
+            failures.iter().for_each(|failure| println!("  {failure}"));
+            outcome.figures().iter().for_each(|(name, value)| println!("  {name}: {value:.3}"));
+            ExitCode::from(u8::from(!failures.is_empty()))
+        }
+        Err(e) => {
+            println!("{what}: could not be played: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// How many broken builds were not found.
 fn mutants(list: &Path, here: &Path) -> std::io::Result<u32> {
     let mut missed = 0;
@@ -113,6 +185,35 @@
     let mut bad = 0;
     match Cli::parse().what {
         What::Hold { parent, command } => return hold(parent, &command),
+        What::Subscribers { plan } => return subscribers(&plan),
+        What::Events {
+            scenario,
+            subscribers,
+            processes,
+            relays,
+            rate,
+            seconds,
+            short,
+            seed,
+            sabotage,
+            mutant,
+            settings,
+            keep,
+        } => {
+            let length = if short { Length::Short } else { Length::Full };
+            let Some(mut scenario) = Scenario::named(&scenario, length, relays) else {
+                eprintln!("{scenario}: one of {}", NAMES.join(", "));
+                return ExitCode::FAILURE;
+            };
+            if let Some(seconds) = seconds {
+                scenario.calm_after = Duration::from_secs(seconds);
+            }
+            let mut setup = Setup::new(subscribers, scenario, &here);
+            setup.processes = processes.unwrap_or(setup.processes);
+            setup = Setup { relays, purges_per_s: rate, seed, sabotage, mutant, ..setup };
+            setup = Setup { relay_settings: settings, keep: Some(keep), ..setup };
+            return events(setup);
+        }
         What::Play { files, keep, mutant, older } => {
             for file in files {
                 let stem = file.file_stem().unwrap_or_default().to_os_string();
--- a/crates/rig/src/relay.rs
+++ b/crates/rig/src/relay.rs
@@ -144,6 +144,13 @@
         self.addresses[front]
     }
 
+    /// A front that may be sent to before it has sent anything itself, and where it listens.
+    pub fn expect_at(&self, front: usize, listen: SocketAddr) {
+        if let Ok(mut shared) = self.shared.lock() {
+            shared.homes.insert(front, listen);
+        }
+    }
+
     pub fn set(&self, from: usize, to: usize, fault: Fault) {
         if let Ok(mut shared) = self.shared.lock() {
             shared.faults.insert((from, to), fault);
--- a/crates/standins/src/journal.rs
+++ b/crates/standins/src/journal.rs
@@ -40,7 +40,8 @@
     }
 }
 
-/// One that speaks: all who follow it hear each event, and a line with the last number each second.
+/// One that speaks: all who follow it hear each event, and a line with the last number each second. Clones tell the same.
+#[derive(Clone)]
 pub struct Speaking {
     pub address: SocketAddr,
     /// Events behind the one that fronts know from their start.
