Events: tests of the mends that only drawn schedules showed; requests to send again are counted

Cause: rings of relays, changed order and repeated requests were found by drawn schedules, whose draws change; the counter resent never moved.

--- a/crates/events/src/distributor.rs
+++ b/crates/events/src/distributor.rs
@@ -117,6 +117,7 @@
             return Err(Rejected::Future);
         }
         subscription.renew(now, &heartbeat, address)?;
+        self.counters.resent += u64::from(heartbeat.gap);
         let holder = Holder { name: heartbeat.name.clone(), incarnation: heartbeat.incarnation };
         if let Some(acknowledged) = subscription.acknowledged {
             self.leases.acknowledge(&holder, acknowledged);
--- a/crates/events/src/output.rs
+++ b/crates/events/src/output.rs
@@ -121,6 +121,7 @@
     pub batches: u64,
     /// Batches with a gap before them, which made a request to send again.
     pub gaps: u64,
+    /// Requests of subscribers to send again.
     pub resent: u64,
     pub snapshots: u64,
     pub lapses: u64,
--- a/crates/events/tests/regressions.rs
+++ b/crates/events/tests/regressions.rs
@@ -456,6 +456,65 @@
     assert!(publisher.published().epoch > Epoch(5));
 }
 
+/// Relays that have lost the publisher and follow one another ask it again soon after it is back.
+#[test]
+fn relays_find_back_to_the_publisher() {
+    let mut network = Network::new(8, 2, 1);
+    network.run(3 * SECOND).unwrap();
+    network.kill(0);
+    network.run(25 * SECOND).unwrap();
+    network.start(0);
+    network.run(6 * SECOND).unwrap();
+    assert_eq!(network.first_behind(0), None);
+}
+
+#[test]
+fn batches_in_another_order_are_all_taken() {
+    let mut front = front_at(1, 5, 10);
+    let batch = |first, object| {
+        let events = packed(&[purge(object, START), purge(object + 1, START)]);
+        Body::Batch(Batch { epoch: 5, first, head: 16, events, ..Batch::default() })
+    };
+    let applied = [(14, 5), (12, 3), (10, 1)].map(|(first, object)| {
+        let out = tell(&mut front, START, batch(first, object));
+        out.iter().filter(|output| matches!(output, Output::Apply(_))).count()
+    });
+    assert_eq!(applied, [0, 0, 6]);
+    assert_eq!(front.position().map(|at| at.position), Some(16));
+    // Nothing is asked for again.
+    assert!(heartbeat_of(&mut front, START + SECOND).is_some_and(|heartbeat| !heartbeat.gap));
+}
+
+#[test]
+fn parts_of_a_snapshot_in_another_order_are_all_taken() {
+    let mut front = front(1);
+    let request = heartbeat_of(&mut front, START).expect("a heartbeat").request;
+    let between = |object| Some(SnapshotPlace::of((START, PurgeKey::Object(object))));
+    let part = |after, object: u64, next| {
+        let (at, events) = (place(5, 7), packed(&[purge(object, START)]));
+        Body::SnapshotPart(SnapshotPart { at, after, next, events, request, ..SnapshotPart::default() })
+    };
+    tell(&mut front, START, part(between(2), 3, None));
+    tell(&mut front, START, part(between(1), 2, between(2)));
+    assert_eq!(front.position(), None);
+    tell(&mut front, START, part(None, 1, between(1)));
+    assert_eq!(front.position(), Some(LogPosition { epoch: Epoch(5), position: 7 }));
+    assert_eq!(front.status(START).purges, 3);
+}
+
+/// What was asked for is not asked for once more before it can be here.
+#[test]
+fn a_gap_is_asked_for_once_a_retry() {
+    let mut front = front_at(1, 5, 10);
+    let mut asked = 0;
+    for step in 0..40 {
+        let now = START + step * 10 * MILLISECOND;
+        tell(&mut front, now, Body::Batch(Batch { epoch: 5, first: 12, head: 12, ..Batch::default() }));
+        asked += usize::from(heartbeat_of(&mut front, now).is_some_and(|heartbeat| heartbeat.gap));
+    }
+    assert_eq!(asked, 2);
+}
+
 /// What a relay still holds of a former epoch is sent, also to one that could go on without it.
 #[test]
 fn the_rest_of_a_former_epoch_is_sent_first() {
