--- a/crates/events/src/subscriber.rs
+++ b/crates/events/src/subscriber.rs
@@ -470,7 +470,8 @@
 
     fn receive_busy(&mut self, now: Micros, busy: Busy, out: &mut Vec<Output>) -> Result<(), Rejected> {
         self.answered(busy.request)?;
-        if busy.full && self.relays.len() > 1 {
+        let has_other = self.granted_by.is_some_and(|relay| relay != self.current);
+        if (busy.full || has_other) && self.relays.len() > 1 {
             let next = self.next_relay();
             self.switch(now, next, out);
         }
@@ -489,7 +490,10 @@
         if self.log.position().is_some_and(|at| writer.epoch < at.epoch) {
             return Err(Rejected::OldEpoch);
         }
-        if self.fetch.as_ref().is_some_and(|fetch| writer.epoch < fetch.at.epoch) {
+        // A late one of a relay that was asked before. Where the one that is asked now is in an older epoch than the
+        // snapshot that was begun, it is begun anew: nothing of it is held to be applied.
+        let is_late = part.request.checked_add(1) != Some(self.next_request);
+        if is_late && self.fetch.as_ref().is_some_and(|fetch| writer.epoch < fetch.at.epoch) {
             return Err(Rejected::OldEpoch);
         }
         let events = wire::unpack(&part.events)?;
--- a/crates/events/tests/regressions.rs
+++ b/crates/events/tests/regressions.rs
@@ -408,10 +408,14 @@
     assert_eq!(network.first_behind(0), None);
 }
 
-/// The last one of three answers. Each time the preferred one is tried and does not answer, the front is back there before its
-/// lease is over.
+/// The last one of three grants leases. Each time the preferred one is tried and does not answer, or is busy, the front is
+/// back there before its lease is over.
 #[test]
 fn a_try_of_the_preferred_relay_costs_no_lease() {
+    [false, true].into_iter().for_each(try_preferred);
+}
+
+fn try_preferred(is_busy: bool) {
     let mut front = front_at(3, 5, 7);
     let preferred = front.status(START).relay;
     let (mut now, mut second, mut lapses_before) = (START, None, 0);
@@ -419,6 +423,10 @@
         now += 10 * MILLISECOND;
         let Some(heartbeat) = heartbeat_of(&mut front, now) else { continue };
         let relay = front.status(now).relay;
+        if relay == preferred && is_busy {
+            let busy = Busy { request: heartbeat.request, retry_ms: 900, full: false };
+            tell(&mut front, now, Body::Busy(busy));
+        }
         if relay == preferred || *second.get_or_insert(relay.clone()) == relay {
             continue;
         }
@@ -502,6 +510,27 @@
     assert_eq!(front.status(START).purges, 3);
 }
 
+/// The snapshot was begun in an epoch that nobody is in any more.
+#[test]
+fn a_snapshot_is_begun_anew_where_its_epoch_is_gone() {
+    let mut front = front(1);
+    let request = heartbeat_of(&mut front, START).expect("a heartbeat").request;
+    let next = Some(SnapshotPlace::of((START, PurgeKey::Object(1))));
+    let first = SnapshotPart { at: place(9, 3), next, request, ..SnapshotPart::default() };
+    tell(&mut front, START, Body::SnapshotPart(first));
+    let mut now = START;
+    while front.position().is_none() {
+        now += 10 * MILLISECOND;
+        assert!(now < START + 5 * SECOND, "fetches for ever");
+        if let Some(heartbeat) = heartbeat_of(&mut front, now) {
+            let (request, after) = (heartbeat.request, heartbeat.cursor);
+            let rest = SnapshotPart { at: place(5, 7), after, request, ..SnapshotPart::default() };
+            tell(&mut front, now, Body::SnapshotPart(rest));
+        }
+    }
+    assert_eq!(front.position(), Some(LogPosition { epoch: Epoch(5), position: 7 }));
+}
+
 /// What was asked for is not asked for once more before it can be here.
 #[test]
 fn a_gap_is_asked_for_once_a_retry() {
--- a/crates/events/tests/simulation/mod.rs
+++ b/crates/events/tests/simulation/mod.rs
@@ -519,6 +519,15 @@
         if let Some(behind) = self.first_behind(self.history.told.len()) {
             return Err(behind);
         }
+        for node in 1..self.relays {
+            let now = self.clock(node);
+            if let Some(Member::Relay(relay)) = &self.nodes[node].member {
+                let upstream = relay.upstream(now);
+                if upstream.lease_left.is_none() {
+                    return Err(format!("relay {node} holds no lease: {upstream:?}"));
+                }
+            }
+        }
         match self.history.told.iter().find(|told| told.done.is_none()) {
             Some(told) => Err(format!("{:?} is not in force everywhere", told.purge)),
             None => Ok(()),
