--- a/crates/front/src/relay.rs
+++ b/crates/front/src/relay.rs
@@ -217,6 +217,7 @@
             name: self.settings.name().to_string(),
             upstream: self.feed.upstream(now),
             done_age,
+            behind: self.journal.as_ref().and_then(Journal::behind).map(|since| now - since),
             in_force: self.progress.in_force,
             unsent: self.datagrams.unsent,
             status,
--- a/crates/front/src/report/events.rs
+++ b/crates/front/src/report/events.rs
@@ -66,6 +66,8 @@
     pub upstream: Option<SubscriberStatus>,
     /// Where it publishes: for how long `done` has not got on, while something published is not in force everywhere.
     pub done_age: Option<Micros>,
+    /// Where it publishes: for how long the journal service may have kept events back.
+    pub behind: Option<Micros>,
     /// Events that were put in force everywhere.
     pub in_force: u64,
     /// Datagrams that the kernel had no room for.
@@ -90,6 +92,7 @@
         if let Some(done) = status.done {
             table.row("done", &position(Some(done)));
             table.row("done age", &self.done_age.map_or("-".into(), milliseconds));
+            table.row("behind", &self.behind.map_or("-".into(), milliseconds));
         }
         table.row("subscribers", &format!("{}, {} with a lease", status.subscribers, status.leased));
         for late in &status.late {
@@ -114,7 +117,7 @@
         let all = json!({
             "role": self.role(), "name": self.name, "head": position_json(Some(status.head)),
             "acknowledged": position_json(Some(status.acknowledged)), "done": position_json(status.done),
-            "done_age_us": self.done_age, "in_force": self.in_force, "subscribers": status.subscribers,
+            "done_age_us": self.done_age, "behind_us": self.behind, "in_force": self.in_force, "subscribers": status.subscribers,
             "leased": status.leased, "late": late, "window_bytes": status.window_bytes,
             "purges": status.purges, "floor_us": status.floor, "unsent": self.unsent,
             "counters": counters_json(&status.counters),
@@ -155,6 +158,8 @@
             gauges.push(gauge("done", "Events that are in force everywhere", done.position as f64));
             let help = "For how long done has not got on while something is not in force everywhere";
             gauges.push(gauge("done_age_seconds", help, seconds(age)));
+            let help = "For how long the journal service may have kept events back";
+            gauges.push(gauge("behind_seconds", help, seconds(self.behind.unwrap_or(0))));
             counters.push(("in_force", "Events put in force everywhere", single(self.in_force)));
         }
         if let Some(upstream) = &self.upstream {
--- a/crates/front/tests/events.rs
+++ b/crates/front/tests/events.rs
@@ -200,6 +200,7 @@
     assert_eq!((&told_events["role"], &told_events["name"]), (&json!("publisher"), &json!("r0")));
     assert_eq!(told_events["done"], told_events["head"]);
     assert_eq!(told_events["done_age_us"], 0);
+    assert!(told_events["behind_us"].is_null(), "{told_events}");
     // Whoever has turned to another relay is named for some seconds.
     until(HANG, "nobody is late", || events(&publisher)["late"] == json!([]));
     assert!(told(&publisher, &["fleet", "events"]).contains("done          2 of epoch"));
@@ -305,6 +306,7 @@
         told_events["watermark"].is_object() && told_events["counters"]["received"].as_u64() > Some(10)
     });
     assert!(front.oldest(OBJECT).is_some_and(|bound| bound <= COPY_AGE_MS));
+    assert!(events(&site.socket("r0"))["behind_us"].is_i64());
     let mut talks = Vec::new();
     until(HANG, "a lease", || {
         while let Some(mut talk) = service.accept_within(LOOK) {
