Rig: scripts with relays of events, real fronts behind them, and make measure AREA=events

Scripts can add relay processes (relays N, named r0, r1-3): kill, stop, cut and split take them as they take fronts; purges are then told to the publishing relay alone. expect leased and unleased ask the fronts, tally counts what comes to caches, parent and origin. The stand-in caches keep when a copy was issued and honour Oldest-Ms, so that a bound on the age of copies costs fills as in earnest.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measures meadowrill on loopback and in one process; `measure AREA` runs one area.
 
+pub mod events;
 pub mod figures;
 pub mod fleet;
 pub mod guard;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,12 +3,21 @@
 
 use clap::{Parser, Subcommand};
 use meadowrill_measure::figures::Figures;
-use meadowrill_measure::{fleet, guard, path, replica, turns};
+use meadowrill_measure::{events, fleet, guard, path, replica, turns};
 use std::path::PathBuf;
 use std::process::{Command, ExitCode};
 
 #[derive(Debug, Subcommand)]
 enum Area {
+    /// Distribution of purges through relays to hollow subscribers: growth, scenarios of faults, a full window
+    Events {
+        /// Only this many subscribers, at each scenario
+        #[arg(long)]
+        subscribers: Option<usize>,
+        /// Only this scenario
+        #[arg(long)]
+        scenario: Option<String>,
+    },
     /// The view of the fleet: in one process up to 1,000 members, and with processes of the program
     Fleet {
         /// Processes of the program
@@ -71,6 +80,9 @@
 fn main() -> ExitCode {
     let mut figures = Figures::default();
     match Cli::parse().area {
+        Area::Events { subscribers, scenario } => {
+            events::measure(&mut figures, subscribers, scenario.as_deref());
+        }
         Area::Fleet { fronts, processes, models } => {
             if !processes {
                 fleet::model(&mut figures);
--- a/crates/rig/src/events/run.rs
+++ b/crates/rig/src/events/run.rs
@@ -10,9 +10,11 @@
 use super::scenario::{in_region, in_zone, Action, Scenario};
 use meadowrill_events::plan::{Plan, MILLISECOND, SECOND};
 use meadowrill_events::Micros;
+use meadowrill_members::plan::Plan as MembersPlan;
 use meadowrill_standins::journal::Speaking;
 use serde_json::json;
 use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
@@ -378,12 +380,18 @@
         many: setup.subscribers,
         seed: setup.seed,
         clock_offset: clock.offset(),
-        fleet: meadowrill_members::rings::hash(FLEET, 98),
+        fleet: fleet_number(),
         relays: relays.addresses().to_vec(),
         sabotage: setup.sabotage,
     }
 }
 
+/// The name of the fleet as it stands in every message.
+fn fleet_number() -> u64 {
+    let nowhere = SocketAddr::new(Ipv4Addr::UNSPECIFIED.into(), 0);
+    MembersPlan { fleet: FLEET.into(), ..MembersPlan::new(nowhere) }.number()
+}
+
 impl Run {
     fn play(&mut self) -> io::Result<Outcome> {
         let journal = self.relays.journal.clone();
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Processes of the program, each at an address of its own, with settings written for it.
 
+use crate::events::relays::{events_settings, RelayAddress, RelayPlace, RelayProcess, FLEET, PUBLISHER};
 use crate::relay::{Relays, FRONTS};
 use crate::{name, unix};
 use meadowrill_standins::journal::Speaking;
@@ -18,13 +19,21 @@
 
 /// Where clients reach a front; each has an address of its own.
 const DOOR: u16 = 10080;
+/// Where fronts and relays hear datagrams.
+const FLEET_PORT: u16 = 7100;
 const BOXES: usize = 3;
+/// By relays a purge is in force everywhere after so long.
+const HEED_OF_EVENTS: Duration = Duration::from_millis(2_900);
 /// Bytes of an answer: short enough to be kept for a second try.
 const SIZE: usize = 1500;
 
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub fronts: usize,
+    /// Relays of events, one of which publishes; they are numbered behind the fronts.
+    pub relays: usize,
+    /// What else stands in `events { ... }` of all.
+    pub events: String,
     pub zones: usize,
     pub period_ms: u64,
     pub contacts: usize,
@@ -42,6 +51,8 @@
     fn default() -> Plan {
         Plan {
             fronts: 8,
+            relays: 0,
+            events: String::new(),
             zones: 2,
             period_ms: 200,
             contacts: 3,
@@ -54,6 +65,19 @@
     }
 }
 
+fn relay_name(relay: usize) -> String {
+    format!("relay-{relay}")
+}
+
+/// What was asked of all caches, how much of it they had to fetch, and what came to the parent and the origin.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Requests {
+    pub caches: u64,
+    pub fills: u64,
+    pub parent: u64,
+    pub origin: u64,
+}
+
 struct Front {
     child: Option<Child>,
     moved: bool,
@@ -75,6 +99,9 @@
     pub origin: Service,
     /// One journal service for the first front, and one for all others.
     journals: [Speaking; 2],
+    event_relays: Vec<RelayProcess>,
+    /// What the relay that publishes follows.
+    published: Speaking,
     /// First processes of names that another has by now.
     twins: Vec<Child>,
     /// Keeps the subnet this run's own, as no two hold one port at a time.
@@ -94,7 +121,7 @@
 impl Fleet {
     /// `program` is the front, `holder` this rig's own tool, which ends what it started when it ends.
     pub fn new(plan: Plan, program: &Path, holder: &Path) -> io::Result<Fleet> {
-        if plan.fronts == 0 || plan.fronts > FRONTS {
+        if plan.fronts == 0 || plan.fronts + plan.relays > FRONTS {
             return Err(io::Error::other(format!("{} fronts: 1 to {FRONTS} go", plan.fronts)));
         }
         let port = TcpListener::bind("127.0.0.1:0")?;
@@ -108,8 +135,8 @@
         if let Ok(mut directory) = directory.lock() {
             directory.extend([("s-p".into(), parent.address), ("s-o".into(), origin.address)]);
         }
-        Ok(Fleet {
-            relays: Relays::start(plan.fronts, plan.seed)?,
+        let mut fleet = Fleet {
+            relays: Relays::start(plan.fronts + plan.relays, plan.seed)?,
             folder: tempfile::tempdir()?,
             subnet,
             fronts: (0..plan.fronts)
@@ -121,15 +148,71 @@
             parent,
             origin,
             journals: [Speaking::start(), Speaking::start()],
+            event_relays: Vec::new(),
+            published: Speaking::start(),
             twins: Vec::new(),
             _port: port,
             plan,
-        })
+        };
+        fleet.add_relays();
+        Ok(fleet)
+    }
+
+    fn add_relays(&mut self) {
+        if self.plan.relays == 0 {
+            return;
+        }
+        self.boxes.iter().for_each(|cache| cache.heed_within(HEED_OF_EVENTS));
+        let events = self.events_settings();
+        for relay in 0..self.plan.relays {
+            let member = self.plan.fronts + relay;
+            let listen = SocketAddr::new(self.ip(member).into(), FLEET_PORT);
+            self.relays.expect_at(member, listen);
+            let zone = format!("zone-{}", self.zone(member));
+            let process = RelayProcess::new(&RelayPlace {
+                folder: self.folder.path(),
+                name: &relay_name(relay),
+                region: &zone,
+                zone: &zone,
+                listen,
+                advertise: self.relays.address(member),
+                events: &events,
+                journal: (relay == PUBLISHER).then_some(self.published.address),
+            });
+            self.event_relays.push(process);
+        }
+    }
+
+    /// The same for all members; empty without relays.
+    fn events_settings(&self) -> String {
+        let address = |relay: usize| RelayAddress {
+            name: relay_name(relay),
+            address: self.relays.address(self.plan.fronts + relay),
+            region: format!("zone-{}", self.zone(self.plan.fronts + relay)),
+            zone: format!("zone-{}", self.zone(self.plan.fronts + relay)),
+            publishes: relay == PUBLISHER,
+        };
+        let all: Vec<RelayAddress> = (0..self.plan.relays).map(address).collect();
+        if all.is_empty() {
+            return String::new();
+        }
+        events_settings(&all, &self.plan.events)
+    }
+
+    /// The relay of that number among all members.
+    fn event_relay(&mut self, member: usize) -> Option<&mut RelayProcess> {
+        member.checked_sub(self.plan.fronts).and_then(|relay| self.event_relays.get_mut(relay))
+    }
+
+    /// Fronts and relays.
+    pub fn members(&self) -> usize {
+        self.plan.fronts + self.plan.relays
     }
 
     fn ip(&self, front: usize) -> Ipv4Addr {
         // Ports from the kernel are 32768 and up, so no other run has the half below.
-        let moved = if self.fronts[front].moved { 0x80 } else { 0 };
+        let is_moved = self.fronts.get(front).is_some_and(|front| front.moved);
+        let moved = if is_moved { 0x80 } else { 0 };
         Ipv4Addr::new(127, self.subnet[0] ^ moved, self.subnet[1], (front + 1) as u8)
     }
 
@@ -138,8 +221,10 @@
         SocketAddr::new(self.ip(front).into(), DOOR)
     }
 
-    pub fn zone(&self, front: usize) -> usize {
-        front % self.plan.zones.max(1)
+    pub fn zone(&self, member: usize) -> usize {
+        // The first relay stands in the first zone.
+        let number = member.checked_sub(self.plan.fronts).unwrap_or(member);
+        number % self.plan.zones.max(1)
     }
 
     fn socket(&self, front: usize) -> PathBuf {
@@ -156,13 +241,14 @@
             .map(|n| format!("  contact: \"{}\"\n", self.relays.address(n)))
             .collect();
         format!(
-            "log {{ form: JSON }}\noperators {{ socket: \"{}\" }}\nfleet {{\n  name: \"rig\"\n  listen: \"{}:7100\"\n  \
-             advertise: \"{}\"\n{contacts}  zone: \"zone-{}\"\n  period_ms: {}\n  remember_s: {}\n  \
+            "log {{ form: JSON }}\noperators {{ socket: \"{}\" }}\nfleet {{\n  name: \"{FLEET}\"\n  listen: \"{}:{FLEET_PORT}\"\n  \
+             advertise: \"{}\"\n{contacts}  zone: \"zone-{}\"\n{}  period_ms: {}\n  remember_s: {}\n  \
              bytes_per_s: {}\n{}\n}}\n",
             self.socket(front).display(),
             self.ip(front),
             self.relays.address(front),
             self.zone(front),
+            self.subscription(front),
             plan.period_ms,
             plan.remember_s,
             // As many for each period as the usual settings give.
@@ -173,6 +259,14 @@
         )
     }
 
+    /// Where this front's purges come from.
+    fn subscription(&self, front: usize) -> String {
+        if self.event_relays.is_empty() || self.is_older(front) {
+            return String::new();
+        }
+        format!("  region: \"zone-{}\"\n{}", self.zone(front), self.events_settings())
+    }
+
     /// Every second front is of an earlier build, where there is one, which may not know settings of today.
     pub fn is_older(&self, front: usize) -> bool {
         self.plan.older.is_some() && front % 2 == 1
@@ -199,6 +293,11 @@
     }
 
     pub fn start(&mut self, front: usize) -> io::Result<()> {
+        let (program, holder) = (self.program.clone(), self.holder.clone());
+        let mutant = self.plan.mutant.clone();
+        if let Some(relay) = self.event_relay(front) {
+            return relay.start(&program, &holder, mutant.as_deref());
+        }
         if self.fronts[front].child.is_some() {
             return Ok(());
         }
@@ -228,11 +327,30 @@
         journals.iter().for_each(|journal| journal.tell(event.clone()));
     }
 
-    /// An object is purged now, as the first front alone is told.
+    /// An object is purged now, as the first front alone is told; the relay that publishes alone, where there is one.
     pub fn purge(&self, item: &str, all: bool) {
         let stamp = meadowrill_standins::now_ms();
         self.boxes.iter().for_each(|b| b.purged(item, stamp));
-        self.tell(&json!({"expire": {"name": item, "stamp": stamp as u64}}), all);
+        let event = json!({"expire": {"name": item, "stamp": stamp as u64}});
+        if self.event_relays.is_empty() {
+            return self.tell(&event, all);
+        }
+        self.published.tell(event);
+    }
+
+    pub fn requests(&self) -> Requests {
+        Requests {
+            caches: self.boxes.iter().map(Service::answered).sum(),
+            fills: self.boxes.iter().map(Service::fills).sum(),
+            parent: self.parent.answered(),
+            origin: self.origin.answered(),
+        }
+    }
+
+    /// Whether this front holds a lease of a relay, as it says itself; none where it does not answer.
+    pub fn leased(&self, front: usize) -> Option<bool> {
+        let told: Value = serde_json::from_str(&self.word(front, "fleet events json")?).ok()?;
+        Some(told["lease_left_us"].is_i64())
     }
 
     pub fn old_let_through(&self) -> u64 {
@@ -278,6 +396,9 @@
     }
 
     fn signal(&self, front: usize, signal: Signal) {
+        if let Some(relay) = front.checked_sub(self.plan.fronts) {
+            return self.event_relays[relay].signal(signal);
+        }
         let child = self.fronts[front].child.as_ref();
         if let Some(pid) = child.and_then(|child| Pid::from_raw(child.id() as i32)) {
             // One that has ended meanwhile is what was wanted, or is seen by the checkers.
@@ -286,6 +407,9 @@
     }
 
     pub fn kill(&mut self, front: usize) {
+        if let Some(relay) = self.event_relay(front) {
+            return relay.kill();
+        }
         self.signal(front, Signal::KILL);
         if let Some(mut child) = self.fronts[front].child.take() {
             let _ = child.wait();
@@ -310,12 +434,12 @@
 
     pub fn stop(&mut self, front: usize) {
         self.signal(front, Signal::STOP);
-        self.fronts[front].stopped = true;
+        self.fronts.get_mut(front).into_iter().for_each(|front| front.stopped = true);
     }
 
     pub fn go_on(&mut self, front: usize) {
         self.signal(front, Signal::CONT);
-        self.fronts[front].stopped = false;
+        self.fronts.get_mut(front).into_iter().for_each(|front| front.stopped = false);
     }
 
     /// Started and not stopped.
--- a/crates/rig/src/script.rs
+++ b/crates/rig/src/script.rs
@@ -2,6 +2,9 @@
 //!
 //! - First what there is: `fronts N`, `zones N`, `period MS`, `contacts N`, `remember S`, `clients N` (none if not told),
 //!   `seed N`.
+//! - `relays N` adds relays of events, named `r0`, `r1-3` where a WHO is told; `r0` publishes what `purge` tells, and no
+//!   front hears of a purge otherwise. `events TEXT` stands in `events { ... }` of all.
+//! - `tally NAME` measures what was asked of caches, parent and origin a second since the mark or the last tally.
 //! - `+S verb ...` waits so many seconds, then does it. `start WHO`, `kill WHO`, `term WHO`, `stop WHO`, `cont WHO`,
 //!   `move WHO` (another address at its next start), `twin WHO` (a second process of its name, at another
 //!   address), `link A>B FAULT...`, `links WHO FAULT...` (to and from each), `from WHO FAULT...`, `to WHO FAULT...`, `split WHO|WHO...`, `heal`, `starve WHO S` (runs a tenth of the time),
@@ -11,6 +14,7 @@
 //!   `slow=2000` (bytes a second), `flap=500` (ms up, ms down); of streams, `reset` and `half_open`.
 //! - `shared TEXT` stands in `fleet { ... }` of each; `older` lets every second front be of an earlier build. `effects N over S [at WHO]` asks for
 //!   so many marks, each again at another front; `purge [all]` and `drain CACHE [all]` are told to the first front alone, or to all.
+//! - `expect leased WHO within S` and `expect unleased WHO within S`: of fronts, towards relays.
 //! - `expect same [urgent] within S` (all hold the same; purges, machines and effects only), `expect vouching within S`, `expect once [N]` (at most so many marks ran twice at the
 //!   origin), `expect purged` (no request let an older copy through half a second after a purge), `expect drained CACHE`.
 //! - `expect settled within S`, `expect dead WHO within S` (at all others that run), `expect known WHO within S` (the
@@ -20,7 +24,7 @@
 
 use crate::check::{self, Groups};
 use crate::effects::Effects;
-use crate::fleet::{Fleet, Plan};
+use crate::fleet::{Fleet, Plan, Requests};
 use crate::relay::Fault;
 use crate::serving::{Clients, Counts};
 use crate::{name, unix};
@@ -79,6 +83,8 @@
     effects: Option<Effects>,
     /// The object that was purged last, and when.
     purged: u64,
+    /// When requests were counted last, and how many there were.
+    tallied: (Instant, Requests),
     since: Duration,
     counted: [u64; 6],
     /// Those to whom something was done since the mark.
@@ -105,6 +111,8 @@
         match words.first().copied() {
             None => {}
             Some("fronts") => plan.fronts = value(1)? as usize,
+            Some("relays") => plan.relays = value(1)? as usize,
+            Some("events") => plan.events = words[1..].join(" "),
             Some("zones") => plan.zones = value(1)? as usize,
             Some("period") => plan.period_ms = value(1)?,
             Some("contacts") => plan.contacts = value(1)? as usize,
@@ -128,6 +136,7 @@
         clients: None,
         effects: None,
         purged: 0,
+        tallied: (Instant::now(), Requests::default()),
         since: unix(),
         counted: [0; 6],
         touched: BTreeSet::new(),
@@ -172,10 +181,15 @@
         }
         let mut all = Vec::new();
         for part in words.split(',') {
+            // Relays are numbered behind the fronts.
+            let (begin, end, part) = match part.strip_prefix('r') {
+                Some(relays) => (many, self.fleet.members(), relays),
+                None => (0, many, part),
+            };
             let (from, to) = part.split_once('-').unwrap_or((part, part));
-            let number =
-                |n: &str| n.parse::<usize>().ok().filter(|n| *n < many).ok_or(format!("no front: {n}"));
-            all.extend(number(from)?..=number(to)?);
+            let number = |n: &str| n.parse::<usize>().ok().map(|n| begin + n).filter(|n| *n < end);
+            let known = |n: &str| number(n).ok_or(format!("no front or relay: {n}"));
+            all.extend(known(from)?..=known(to)?);
         }
         Ok(all)
     }
@@ -218,7 +232,9 @@
         let second = words.get(1).copied().unwrap_or("");
         match verb {
             "wait" => {}
+            "tally" => self.tally(&words[1..].join(" ")),
             "mark" => {
+                self.tallied = (Instant::now(), self.fleet.requests());
                 self.since = unix();
                 self.touched.clear();
                 self.counted = self.clients.as_ref().map_or([0; 6], |c| counts(&c.counts));
@@ -255,7 +271,9 @@
                         }
                     }
                 }
-                self.groups = sides;
+                let fronts = self.fleet.plan.fronts;
+                let only_fronts = |side: Vec<usize>| side.into_iter().filter(|n| *n < fronts).collect();
+                self.groups = sides.into_iter().map(only_fronts).collect();
             }
             "link" => {
                 let (from, to) = second.split_once('>').ok_or("no link: A>B is one")?;
@@ -265,7 +283,8 @@
                 }
             }
             "links" | "from" | "to" => {
-                let (some, all) = (self.who(second)?, self.who("all")?);
+                let some = self.who(second)?;
+                let all: Vec<usize> = (0..self.fleet.members()).collect();
                 let fault = Play::fault(&words[2..])?;
                 let away = pairs(&some, &all);
                 let back = pairs(&all, &some);
@@ -309,6 +328,22 @@
         Ok(())
     }
 
+    /// Requests a second since the last tally.
+    fn tally(&mut self, name: &str) {
+        let (now, requests) = (Instant::now(), self.fleet.requests());
+        let (since, before) = std::mem::replace(&mut self.tallied, (now, requests));
+        let seconds = (now - since).as_secs_f64();
+        let counts = [
+            ("requests at caches", requests.caches - before.caches),
+            ("fills of caches", requests.fills - before.fills),
+            ("requests at the parent", requests.parent - before.parent),
+            ("requests at the origin", requests.origin - before.origin),
+        ];
+        for (what, count) in counts {
+            self.figures.push((format!("{name}: {what} a second"), count as f64 / seconds));
+        }
+    }
+
     /// Little processor time: a tenth of it, in turns of a twentieth of a second.
     fn starve(&mut self, some: &[usize], span: f64) {
         let end = Instant::now() + Duration::from_secs_f64(span);
@@ -440,6 +475,15 @@
                 let good = twice <= most && bad == 0 && !runs.is_empty();
                 good.then_some(()).ok_or(format!("{twice} of {} ran twice; {said}", runs.len()))
             }
+            "leased" | "unleased" => {
+                let (some, wanted) = (self.who(word(1))?, word(0) == "leased");
+                self.within(text, word(3), |fleet| {
+                    let not = some.iter().find(|front| fleet.leased(**front) != Some(wanted));
+                    not.map(|front| {
+                        format!("front {front} is not {}", if wanted { "leased" } else { "unleased" })
+                    })
+                })
+            }
             "purged" => {
                 let old = self.fleet.old_let_through();
                 (old == 0).then_some(()).ok_or(format!("{old} requests let an older copy through"))
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -4,7 +4,7 @@
 use crate::header;
 use crate::program::KEY_TTL;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::Relaxed};
@@ -23,8 +23,8 @@
     workers: Mutex<BinaryHeap<Reverse<Instant>>>,
     each_us: AtomicU64,
     size: usize,
-    /// None: it has everything.
-    held: Option<Mutex<BTreeSet<String>>>,
+    /// When each copy was issued, in milliseconds since the Unix epoch. None: it has everything.
+    held: Option<Mutex<BTreeMap<String, u128>>>,
     directory: Directory,
     inside: AtomicUsize,
     most_inside: AtomicUsize,
@@ -35,10 +35,12 @@
     /// Objects that were purged, by when; and requests that would have let an older copy through.
     purged: Mutex<BTreeMap<String, u128>>,
     old_let_through: AtomicU64,
+    /// How long after a purge requests may still let older copies through.
+    heed_ms: AtomicU64,
 }
 
-/// How long after a purge requests may still let older copies through.
-const HEED: u128 = 500;
+/// How long after a purge requests may still let older copies through, if nothing else is told.
+const HEED_MS: u64 = 500;
 /// What clocks and the way to here may add to the age that a request allows.
 const SLACK: u128 = 50;
 
@@ -65,6 +67,7 @@
             runs: Mutex::default(),
             purged: Mutex::default(),
             old_let_through: AtomicU64::new(0),
+            heed_ms: AtomicU64::new(HEED_MS),
             fills: AtomicU64::new(0),
         });
         let served = Arc::clone(&machine);
@@ -100,6 +103,11 @@
         self.machine.purged.lock().unwrap().insert(item.into(), stamp_ms);
     }
 
+    /// From now on requests may let older copies through for so long after a purge.
+    pub fn heed_within(&self, span: Duration) {
+        self.machine.heed_ms.store(span.as_millis() as u64, Relaxed);
+    }
+
     pub fn old_let_through(&self) -> u64 {
         self.machine.old_let_through.load(Relaxed)
     }
@@ -110,6 +118,26 @@
     }
 }
 
+struct Answer {
+    note: &'static str,
+    /// How long the source of a miss took.
+    source_ms: Option<u128>,
+    /// When the copy was issued.
+    issued_ms: u128,
+}
+
+impl Answer {
+    fn hit(issued_ms: u128) -> Answer {
+        Answer { note: "TCP_HIT", source_ms: None, issued_ms }
+    }
+}
+
+/// The age of copies that a request allows, in milliseconds.
+fn oldest_ms(head: &str) -> u128 {
+    let told = header(head, "Oldest-Ms").and_then(|ms| ms.parse::<u64>().ok());
+    u128::from(told.unwrap_or(u64::MAX))
+}
+
 impl Machine {
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
@@ -130,10 +158,10 @@
             let answer = self.answer(&head);
             self.inside.fetch_sub(1, Relaxed);
             self.answered.fetch_add(1, Relaxed);
-            let written = answer.map(|(note, source_ms)| {
+            let written = answer.map(|Answer { note, source_ms, issued_ms }| {
                 let head = format!(
                     "HTTP/1.1 200 OK\r\nX-Cache: {note}\r\nVersion: 1\r\nIssued-At: {}\r\n{}Content-Length: {}\r\n\r\n",
-                    crate::now_ms(),
+                    issued_ms,
                     source_ms.map_or(String::new(), |ms| format!("Source-Ms: {ms}\r\n")),
                     self.size
                 );
@@ -147,8 +175,8 @@
         }
     }
 
-    /// The note of an answer and how long its source took; none for a miss without a source.
-    fn answer(&self, head: &str) -> Option<(&'static str, Option<u128>)> {
+    /// None for a miss without a source.
+    fn answer(&self, head: &str) -> Option<Answer> {
         let path = head.split(' ').nth(1).unwrap_or_default().to_string();
         self.look_at_age(&path, head);
         let each = Duration::from_micros(self.each_us.load(Relaxed));
@@ -162,24 +190,25 @@
         let mark = header(head, "Idempotency-Key");
         let Some(held) = &self.held else {
             mark.into_iter().for_each(|mark| self.run(mark));
-            return Some(("TCP_HIT", None));
+            return Some(Answer::hit(crate::now_ms()));
         };
-        if held.lock().unwrap().contains(&path) {
-            return Some(("TCP_HIT", None));
+        let issued_ms = held.lock().unwrap().get(&path).copied();
+        if let Some(issued_ms) = issued_ms.filter(|issued| *issued + oldest_ms(head) >= crate::now_ms()) {
+            return Some(Answer::hit(issued_ms));
         }
         let source = header(head, "Upstream")?;
         let address = self.directory.lock().unwrap().get(source).copied()?;
         self.fills.fetch_add(1, Relaxed);
         let start = Instant::now();
-        self.fetch(address, &path, mark)?;
+        let issued_ms = self.fetch(address, &path, head, mark)?;
         if header(head, "Retain").is_some_and(|rank| rank != "0") {
             let mut held = held.lock().unwrap();
-            held.insert(path);
+            held.insert(path, issued_ms);
             if held.len() > HELD {
                 held.pop_first();
             }
         }
-        Some(("TCP_MISS", Some(start.elapsed().as_millis())))
+        Some(Answer { note: "TCP_MISS", source_ms: Some(start.elapsed().as_millis()), issued_ms })
     }
 
     /// Has the effect, but for a repeat that comes soon after.
@@ -196,29 +225,31 @@
         let Some(item) = path.split('/').nth(3) else { return };
         let Some(stamp) = self.purged.lock().unwrap().get(item).copied() else { return };
         let since = crate::now_ms().saturating_sub(stamp);
-        let allowed = header(head, "Oldest-Ms").and_then(|ms| ms.parse::<u128>().ok()).unwrap_or(u128::MAX);
-        if since > HEED && allowed > since + SLACK {
+        if since > u128::from(self.heed_ms.load(Relaxed)) && oldest_ms(head) > since + SLACK {
             self.old_let_through.fetch_add(1, Relaxed);
         }
     }
 
-    /// As from a parent that passes on what the origin has.
-    fn fetch(&self, address: SocketAddr, path: &str, mark: Option<&str>) -> Option<()> {
+    /// As from a parent that passes on what the origin has; when that was issued.
+    fn fetch(&self, address: SocketAddr, path: &str, asked: &str, mark: Option<&str>) -> Option<u128> {
         let mut stream = TcpStream::connect_timeout(&address, crate::HANG).ok()?;
         let mark = mark.map_or(String::new(), |mark| format!("Idempotency-Key: {mark}\r\n"));
-        let origin = format!("Upstream: s-o\r\nRetain: 1\r\n{mark}");
+        let oldest = header(asked, "Oldest-Ms").map_or(String::new(), |ms| format!("Oldest-Ms: {ms}\r\n"));
+        let origin = format!("Upstream: s-o\r\nRetain: 1\r\n{oldest}{mark}");
         stream.write_all(format!("GET {path} HTTP/1.1\r\n{origin}\r\n").as_bytes()).ok()?;
         let (mut reader, mut line, mut length) = (BufReader::new(stream), String::new(), 0);
         reader.read_line(&mut line).ok().filter(|_| line.contains(" 200 "))?;
+        let mut issued_ms = crate::now_ms();
         loop {
             line.clear();
             reader.read_line(&mut line).ok()?;
             match line.trim_end().split_once(": ") {
                 Some(("Content-Length", n)) => length = n.parse().ok()?,
+                Some(("Issued-At", ms)) => issued_ms = ms.parse().ok()?,
                 Some(_) => {}
                 None => break,
             }
         }
-        reader.read_exact(&mut vec![0; length]).ok()
+        reader.read_exact(&mut vec![0; length]).ok().map(|()| issued_ms)
     }
 }
