--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -88,9 +88,9 @@
         /// Stands in `events { ... }` of each relay
         #[arg(long, default_value = "")]
         settings: String,
-        /// Where the relays' logs of a failed run are put
-        #[arg(long, default_value = "rig-failures/events")]
-        keep: PathBuf,
+        /// Where the relays' logs are put; nowhere if not told
+        #[arg(long)]
+        keep: Option<PathBuf>,
     },
     /// Hold hollow subscribers, as the driver of a run says by its standard input
     #[command(hide = true)]
@@ -211,7 +211,7 @@
             let mut setup = Setup::new(subscribers, scenario, &here);
             setup.processes = processes.unwrap_or(setup.processes);
             setup = Setup { relays, purges_per_s: rate, seed, sabotage, mutant, ..setup };
-            setup = Setup { relay_settings: settings, keep: Some(keep), ..setup };
+            setup = Setup { relay_settings: settings, keep, ..setup };
             return events(setup);
         }
         What::Play { files, keep, mutant, older } => {
