--- a/crates/measure/src/scale/mod.rs
+++ b/crates/measure/src/scale/mod.rs
@@ -10,6 +10,7 @@
 pub mod plot;
 mod process;
 pub mod results;
+mod scenario;
 mod shared;
 mod sockets;
 mod target;
--- /dev/null
+++ b/crates/measure/src/scale/scenario.rs
@@ -0,0 +1,17 @@
+//! The settings of the decision module's own scenarios, for models that drive it directly.
+
+use meadowrill_core::interface::Settings;
+
+const BASE: &str = include_str!("../../../core/tests/scenarios/base.txt");
+
+/// The base settings, with the size of the fleet in them.
+pub fn settings(fronts: usize) -> Settings {
+    let lines = BASE.lines().filter_map(|line| line.strip_prefix("set "));
+    let mut all: Settings = lines
+        .map(|line| line.split_once(' ').unwrap_or((line, "")))
+        .map(|(name, value)| (name.to_string(), value.trim().to_string()))
+        .collect();
+    all.insert("balancers".into(), fronts.to_string());
+    all.insert("specifics.zone_balancers".into(), fronts.to_string());
+    all
+}
