--- /dev/null
+++ b/crates/admission/src/controller/reject.rs
@@ -0,0 +1,108 @@
+//! Rejections: when the client should return, and whether a place is reserved for it then.
+
+use super::AdmissionController;
+use crate::config::QueueDiscipline;
+use crate::identity::ClientIdentity;
+use crate::request::{AdmissionEvent, RejectReason, Rejection};
+use crate::reservations;
+use meadowrill_core::interface::Micros;
+
+/// Fullness of the calendar from which on a flow may not have more than an even part of it.
+const CROWDED_FULLNESS: f64 = 0.5;
+/// Clients are told whole milliseconds.
+const RETRY_GRANULARITY: Micros = 1_000;
+/// Longest wait that is computed with.
+const MAX_WAIT: f64 = 1e12;
+/// Least rate of a flow, so that it can be divided by.
+const MIN_FLOW_RATE: f64 = 1e-6;
+
+/// A time to wait in whole milliseconds, rounded up, and at least one.
+fn rounded_wait(wait: f64) -> Micros {
+    let wait = (wait.min(MAX_WAIT) as Micros).max(1);
+    (wait + RETRY_GRANULARITY - 1) / RETRY_GRANULARITY * RETRY_GRANULARITY
+}
+
+impl AdmissionController {
+    /// How long a flow needs for work of `cost` with its share of the concurrency limit.
+    pub(super) fn service_time(&self, flow: u32, cost: f64) -> f64 {
+        cost / (self.limiter.limit() * self.queue.share(flow)).max(MIN_FLOW_RATE)
+    }
+
+    /// Rejects a lookup, and reserves the next free place of its flow where the client may be told.
+    pub(super) fn reject(
+        &mut self,
+        now: Micros,
+        identity: ClientIdentity,
+        flow: u32,
+        class: usize,
+        reason: RejectReason,
+    ) -> Rejection {
+        let usual_cost = self.costs.expected(class, 0.0);
+        let cost = self.queue.cost_ahead(flow, usual_cost) + usual_cost;
+        let wait = self.service_time(flow, cost);
+        self.reject_until(now, identity, flow, wait, reason)
+    }
+
+    /// Rejects a lookup at a capacity limit: places become free at the rate of completions.
+    pub(super) fn reject_at_limit(
+        &mut self,
+        now: Micros,
+        identity: ClientIdentity,
+        reason: RejectReason,
+    ) -> Rejection {
+        let wait = (self.reservations.open + 1) as f64 / self.completions.estimate(now);
+        let fair = self.config.discipline == QueueDiscipline::Fair;
+        let flow = if fair { self.queue.flow_of(now, identity) } else { 0 };
+        self.reject_until(now, identity, flow, wait, reason)
+    }
+
+    /// Rejects a lookup that waits.
+    pub(super) fn reject_queued(&mut self, now: Micros, index: u32, reason: RejectReason) {
+        let Some(lookup) = self.lookups.remove(index) else { return };
+        self.timers.cancel(index);
+        self.queue.remove(index);
+        let rejection = self.reject(now, lookup.identity, lookup.flow, lookup.class(), reason);
+        self.events.push(AdmissionEvent::Rejected { id: lookup.id, rejection });
+    }
+
+    /// Rejects a lookup, and reserves a place of its flow after `wait` if that is not too long.
+    fn reject_until(
+        &mut self,
+        now: Micros,
+        identity: ClientIdentity,
+        flow: u32,
+        wait: f64,
+        reason: RejectReason,
+    ) -> Rejection {
+        let wait = rounded_wait(wait);
+        let allowed = wait <= self.limits.max_retry_after && !self.has_even_part_reserved(flow);
+        let reserved = allowed && self.reservations.reserve(&identity, flow, now + wait);
+        if reserved {
+            self.queue.add_reservation(flow);
+        }
+        self.rejection(identity, reason, wait, reserved)
+    }
+
+    /// Whether a flow has an even part of a calendar that is crowded.
+    fn has_even_part_reserved(&self, flow: u32) -> bool {
+        let even_part = reservations::CAPACITY as u32 / self.queue.active_flows().max(1);
+        self.reservations.fullness() > CROWDED_FULLNESS && self.queue.reserved_in(flow) >= even_part
+    }
+
+    /// Counts a rejection, and limits the time that the client is told.
+    pub(super) fn rejection(
+        &mut self,
+        identity: ClientIdentity,
+        reason: RejectReason,
+        wait: Micros,
+        reserved: bool,
+    ) -> Rejection {
+        let max = self.limits.max_retry_after;
+        let reserved = reserved && wait <= max;
+        let counters = &mut self.counters[usize::from(identity.tenant)];
+        counters.rejected[reason as usize] += 1;
+        counters.reserved += u64::from(reserved);
+        let retry_after = if max == 0 { 0 } else { wait.clamp(RETRY_GRANULARITY.min(max), max) };
+        Rejection { reason, retry_after, reserved }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/cost/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+
+const CLASS: LookupClass = LookupClass { worth: 1.0, latency_budget: 500_000, budget_stretch: 0.0 };
+
+#[test]
+fn what_is_large_and_told_so_costs_more_but_within_bounds() {
+    let mut costs = CostModel::new(&[CLASS], 10);
+    assert_eq!(costs.expected(0, 9.0), 50_000.0);
+    (0..200).for_each(|_| costs.record(0, 20_000, 100.0));
+    let usual = costs.expected(0, 0.0);
+    assert!((usual - 21_000.0).abs() < 1.0);
+    assert!((costs.expected(0, 100.0) - usual).abs() < 1.0);
+    assert!(costs.expected(0, 400.0) > 2.0 * usual && costs.expected(0, 1e12) < 10.0 * usual);
+    assert!(costs.expected(0, f64::NAN) == usual && costs.expected(0, -3.0) == usual);
+    assert!(costs.expected(9, 1.0) == MIN_COST && costs.actual(-5, -1.0) == MIN_COST);
+}
+
+#[test]
+fn the_latest_start_leaves_time_to_be_answered() {
+    let mut costs = CostModel::new(&[CLASS], 0);
+    (0..200).for_each(|_| costs.record(0, 100_000, 0.0));
+    assert_eq!(costs.latest_start(0, 0, 3_000_000), 400_000);
+    assert_eq!(costs.latest_start(0, 0, 300_000), 200_000);
+    (0..200).for_each(|_| costs.record(0, 900_000, 0.0));
+    assert_eq!(costs.latest_start(0, 0, 3_000_000), 50_000);
+    // One that is over has no time left to wait.
+    assert!(costs.latest_start(0, 0, -1) <= 0);
+}
--- /dev/null
+++ b/crates/admission/src/heavy_hitters/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+#[test]
+fn a_loud_one_is_found_among_a_hundred_thousand_names() {
+    let mut hitters = HeavyHitters::new(0);
+    for n in 0..100_000u64 {
+        hitters.record(0, 1_000_000 + n);
+        if n % 9 == 0 {
+            hitters.record(0, 7);
+        }
+    }
+    // A tenth of all: counted, and never too high.
+    assert!((1..=11_112).contains(&hitters.guaranteed(7)), "{}", hitters.guaranteed(7));
+    assert!(hitters.guaranteed(7) > 11_112 / 2);
+    assert!(hitters.guaranteed(1_000_000) == 0);
+}
+
+#[test]
+fn who_falls_silent_is_forgotten() {
+    let mut hitters = HeavyHitters::new(0);
+    assert_eq!((0..1000).map(|_| hitters.record(0, 7)).last(), Some(1000));
+    hitters.record(HALVING_INTERVAL * 40, 8);
+    assert_eq!((hitters.guaranteed(7), hitters.guaranteed(8)), (0, 1));
+}
--- /dev/null
+++ b/crates/admission/src/reservations.rs
@@ -0,0 +1,242 @@
+//! Reservations. A rejected client is told when to return; that time is kept as a reservation in a bounded calendar,
+//! and a lookup that arrives then is admitted to the queue on it. Reservations are counted per connection and time
+//! slot, so that a look-up costs the same however many a client holds. They belong to the client, but the connection
+//! that was told goes first: otherwise the client's other connections, which were told nothing, would use them up.
+
+use crate::identity::ClientIdentity;
+use crate::slab::{Slab, NONE};
+use crate::timer_wheel::TimerWheel;
+use meadowrill_core::interface::Micros;
+
+/// Most entries of the calendar.
+pub const CAPACITY: usize = 4_096;
+/// Width of a time slot.
+const SLOT_WIDTH: Micros = 20_000;
+/// Slots after its own in which a reservation still holds: networks and timers of clients are late.
+const GRACE_SLOTS: i64 = 12;
+/// Most reservations in one entry: of one connection in one slot.
+const MAX_PER_ENTRY: u16 = 1_000;
+/// So many slots after its own, any connection of the client may use a reservation.
+const EXCLUSIVE_SLOTS: i64 = 3;
+/// Entries of a client's other connections that are looked at in a slot.
+const MAX_SCANNED: usize = 4;
+/// Odd multipliers that spread slots and connections over the hash tables.
+const SLOT_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+const CONNECTION_MULTIPLIER: u64 = 0xd6e8_feb8_6659_fd93;
+
+/// The two hash tables of entries, as places of their arrays.
+const BY_CONNECTION: usize = 0;
+const BY_CLIENT: usize = 1;
+const TABLES: [usize; 2] = [BY_CONNECTION, BY_CLIENT];
+
+/// Reservations of one connection in one slot.
+struct Entry {
+    client: u64,
+    connection: u64,
+    /// The newest connection of all when the entry was made.
+    newest_connection: u64,
+    slot: i64,
+    flow: u32,
+    count: u16,
+    /// The next entry in the same bucket of each hash table.
+    next: [u32; 2],
+}
+
+/// A bounded calendar of reservations.
+pub struct ReservationCalendar {
+    entries: Slab<Entry>,
+    /// First entry of each bucket, by hash table.
+    tables: [Vec<u32>; 2],
+    newest_connection: u64,
+    expiries: TimerWheel,
+    /// Reservations that are neither redeemed nor expired.
+    pub open: usize,
+    /// Reservations that were redeemed since the start.
+    pub redeemed: u64,
+    /// Reservations that expired since the start.
+    pub expired: u64,
+    /// Reservations that were refused since the start because the calendar was full.
+    pub refused: u64,
+}
+
+/// An entry whose time is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExpiredEntry {
+    /// The flow that the reservations were for; [`NONE`] where it no longer exists.
+    pub flow: u32,
+    /// How many reservations were not redeemed.
+    pub count: u32,
+}
+
+fn slot_of(time: Micros) -> i64 {
+    time.div_euclid(SLOT_WIDTH)
+}
+
+/// Buckets of an entry in both hash tables.
+fn buckets(client: u64, connection: u64, slot: i64) -> [usize; 2] {
+    // The client's number is a salted hash already.
+    let by_client = client ^ (slot as u64).wrapping_mul(SLOT_MULTIPLIER);
+    let by_connection = by_client ^ connection.wrapping_mul(CONNECTION_MULTIPLIER);
+    [by_connection, by_client].map(|hash| (hash ^ (hash >> 32)) as usize % CAPACITY)
+}
+
+impl ReservationCalendar {
+    /// An empty calendar. All its memory is allocated here.
+    pub fn new(now: Micros) -> ReservationCalendar {
+        ReservationCalendar {
+            entries: Slab::with_capacity(CAPACITY),
+            tables: [vec![NONE; CAPACITY], vec![NONE; CAPACITY]],
+            expiries: TimerWheel::with_capacity(SLOT_WIDTH, now, CAPACITY),
+            newest_connection: 0,
+            open: 0,
+            redeemed: 0,
+            expired: 0,
+            refused: 0,
+        }
+    }
+
+    /// The entries of a client in a slot, along the bucket of one hash table.
+    fn entries_of(
+        &self,
+        identity: &ClientIdentity,
+        slot: i64,
+        table: usize,
+    ) -> impl Iterator<Item = (u32, &Entry)> {
+        let client = identity.client;
+        let first = self.tables[table][buckets(client, identity.connection, slot)[table]];
+        let at = |index: u32| Some((index, self.entries.get(index)?));
+        let bucket = std::iter::successors(at(first), move |(_, entry)| at(entry.next[table]));
+        bucket.filter(move |(_, entry)| (entry.client, entry.slot) == (client, slot))
+    }
+
+    /// The entry of this very connection in a slot.
+    fn own_entry(&self, identity: &ClientIdentity, slot: i64) -> Option<u32> {
+        let mut entries = self.entries_of(identity, slot, BY_CONNECTION);
+        entries.find(|(_, entry)| entry.connection == identity.connection).map(|(index, _)| index)
+    }
+
+    /// An entry of another connection of the client that this one may use: its time has passed without a return, or
+    /// this connection was opened later.
+    fn usable_entry(&self, identity: &ClientIdentity, slot: i64, current_slot: i64) -> Option<u32> {
+        let mut entries = self.entries_of(identity, slot, BY_CLIENT).take(MAX_SCANNED);
+        let exclusive_over = slot + EXCLUSIVE_SLOTS <= current_slot;
+        let usable = |entry: &Entry| exclusive_over || identity.connection > entry.newest_connection;
+        entries.find(|(_, entry)| usable(entry)).map(|(index, _)| index)
+    }
+
+    /// Reserves a place of `flow` at `due`; false where the calendar is full.
+    pub fn reserve(&mut self, identity: &ClientIdentity, flow: u32, due: Micros) -> bool {
+        let slot = slot_of(due);
+        self.newest_connection = self.newest_connection.max(identity.connection);
+        let reserved = match self.own_entry(identity, slot) {
+            Some(index) => self.add_to_entry(index),
+            None => self.add_entry(identity, flow, slot),
+        };
+        match reserved {
+            true => self.open += 1,
+            false => self.refused += 1,
+        }
+        reserved
+    }
+
+    fn add_to_entry(&mut self, index: u32) -> bool {
+        let Some(entry) = self.entries.get_mut(index).filter(|entry| entry.count < MAX_PER_ENTRY) else {
+            return false;
+        };
+        entry.count += 1;
+        true
+    }
+
+    fn add_entry(&mut self, identity: &ClientIdentity, flow: u32, slot: i64) -> bool {
+        if self.entries.len() >= CAPACITY {
+            return false;
+        }
+        let ClientIdentity { client, connection, .. } = *identity;
+        let buckets = buckets(client, connection, slot);
+        let next = TABLES.map(|table| self.tables[table][buckets[table]]);
+        let newest_connection = self.newest_connection;
+        let entry = Entry { client, connection, newest_connection, slot, flow, count: 1, next };
+        let index = self.entries.insert(entry);
+        for table in TABLES {
+            self.tables[table][buckets[table]] = index;
+        }
+        self.expiries.set(index, (slot + GRACE_SLOTS + 1) * SLOT_WIDTH);
+        true
+    }
+
+    /// A lookup of a client has arrived: uses up a reservation that holds now, the oldest first, and returns its
+    /// flow. A reservation that lies ahead is left alone, however often its client comes before.
+    pub fn redeem(&mut self, now: Micros, identity: &ClientIdentity) -> Option<u32> {
+        self.newest_connection = self.newest_connection.max(identity.connection);
+        if self.open == 0 {
+            return None;
+        }
+        let current = slot_of(now);
+        let mut holding = current - GRACE_SLOTS..=current;
+        let own = holding.clone().find_map(|slot| self.own_entry(identity, slot));
+        let index = own.or_else(|| holding.find_map(|slot| self.usable_entry(identity, slot, current)))?;
+        let entry = self.entries.get_mut(index)?;
+        entry.count -= 1;
+        let (flow, used_up) = (entry.flow, entry.count == 0);
+        self.open -= 1;
+        self.redeemed += 1;
+        if used_up {
+            self.remove(index);
+        }
+        Some(flow)
+    }
+
+    /// Takes out one entry whose time is over; to be called until there is none.
+    pub fn pop_expired(&mut self, now: Micros) -> Option<ExpiredEntry> {
+        let index = self.expiries.pop_due(now)?;
+        let entry = self.remove(index)?;
+        self.open -= usize::from(entry.count);
+        self.expired += u64::from(entry.count);
+        Some(ExpiredEntry { flow: entry.flow, count: u32::from(entry.count) })
+    }
+
+    fn remove(&mut self, index: u32) -> Option<Entry> {
+        self.expiries.cancel(index);
+        let entry = self.entries.remove(index)?;
+        let buckets = buckets(entry.client, entry.connection, entry.slot);
+        for table in TABLES {
+            self.unlink(index, table, buckets[table], entry.next[table]);
+        }
+        Some(entry)
+    }
+
+    /// Takes an entry that was followed by `next` out of a bucket of a hash table.
+    fn unlink(&mut self, index: u32, table: usize, bucket: usize, next: u32) {
+        let head = &mut self.tables[table][bucket];
+        if *head == index {
+            *head = next;
+            return;
+        }
+        let mut previous = *head;
+        while let Some(other) = self.entries.get_mut(previous) {
+            if other.next[table] == index {
+                other.next[table] = next;
+                return;
+            }
+            previous = other.next[table];
+        }
+    }
+
+    /// Forgets the flows of all entries, which no longer exist; the reservations hold.
+    pub fn clear_flows(&mut self) {
+        self.entries.for_each_mut(|entry| entry.flow = NONE);
+    }
+
+    /// Bytes allocated, used or not.
+    pub fn memory_bytes(&self) -> usize {
+        self.entries.memory_bytes() + 2 * CAPACITY * size_of::<u32>() + self.expiries.memory_bytes()
+    }
+
+    /// How full the calendar is, from 0 to 1.
+    pub fn fullness(&self) -> f64 {
+        self.entries.len() as f64 / CAPACITY as f64
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/admission/src/slab.rs
@@ -0,0 +1,77 @@
+//! A slab allocator: values under small indices that are reused. It grows to the most values held at one time.
+
+/// The index that stands for no entry, in linked lists over slab indices.
+pub const NONE: u32 = u32::MAX;
+
+/// Values by index; a freed index is given out again.
+pub struct Slab<T> {
+    values: Vec<Option<T>>,
+    free: Vec<u32>,
+}
+
+impl<T> Default for Slab<T> {
+    fn default() -> Self {
+        Slab { values: Vec::new(), free: Vec::new() }
+    }
+}
+
+impl<T> Slab<T> {
+    /// An empty slab with memory for `capacity` values.
+    pub fn with_capacity(capacity: usize) -> Slab<T> {
+        Slab { values: Vec::with_capacity(capacity), free: Vec::with_capacity(capacity) }
+    }
+
+    /// Stores a value and returns its index.
+    pub fn insert(&mut self, value: T) -> u32 {
+        let index = self.free.pop().unwrap_or(self.values.len() as u32);
+        match self.values.get_mut(index as usize) {
+            Some(slot) => *slot = Some(value),
+            None => self.values.push(Some(value)),
+        }
+        index
+    }
+
+    /// Removes the value at `index`, if there is one, and frees the index.
+    pub fn remove(&mut self, index: u32) -> Option<T> {
+        let value = self.values.get_mut(index as usize)?.take();
+        if value.is_some() {
+            self.free.push(index);
+        }
+        value
+    }
+
+    /// The value at `index`.
+    pub fn get(&self, index: u32) -> Option<&T> {
+        self.values.get(index as usize)?.as_ref()
+    }
+
+    /// The value at `index`, to be changed.
+    pub fn get_mut(&mut self, index: u32) -> Option<&mut T> {
+        self.values.get_mut(index as usize)?.as_mut()
+    }
+
+    /// All values with their indices, in the order of the indices.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &T)> {
+        (0u32..).zip(&self.values).filter_map(|(index, value)| value.as_ref().map(|v| (index, v)))
+    }
+
+    /// Changes each value in place.
+    pub fn for_each_mut(&mut self, change: impl FnMut(&mut T)) {
+        self.values.iter_mut().flatten().for_each(change);
+    }
+
+    /// Number of values held.
+    pub fn len(&self) -> usize {
+        self.values.len() - self.free.len()
+    }
+
+    /// Whether no value is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Bytes allocated, used or not.
+    pub fn memory_bytes(&self) -> usize {
+        self.values.capacity() * size_of::<Option<T>>() + self.free.capacity() * size_of::<u32>()
+    }
+}
--- /dev/null
+++ b/crates/admission/src/timer_wheel.rs
@@ -0,0 +1,144 @@
+//! A timing wheel over small indices. Setting, moving and cancelling a timer are O(1), and a cancelled timer leaves
+//! nothing behind (a heap with dead entries would grow with the rate of lookups).
+
+use crate::slab::NONE;
+use meadowrill_core::interface::Micros;
+
+/// Slots of the wheel. Timers further ahead than a whole turn share the slots of nearer ones.
+const SLOT_COUNT: usize = 512;
+
+/// A timer, linked into the list of its slot.
+#[derive(Clone, Copy)]
+struct Timer {
+    deadline: Micros,
+    previous: u32,
+    next: u32,
+    /// The slot whose list it is in; [`NONE`] while it is not set.
+    slot: u32,
+}
+
+const UNSET: Timer = Timer { deadline: 0, previous: NONE, next: NONE, slot: NONE };
+
+/// Timers by index, each with one deadline.
+pub struct TimerWheel {
+    /// Width of a slot.
+    granularity: Micros,
+    /// The first timer of each slot.
+    heads: Vec<u32>,
+    timers: Vec<Timer>,
+    /// The tick before which no timer is due any more.
+    tick: i64,
+    count: usize,
+}
+
+impl TimerWheel {
+    /// An empty wheel whose slots are `granularity` wide.
+    pub fn new(granularity: Micros, now: Micros) -> TimerWheel {
+        let tick = now.div_euclid(granularity);
+        TimerWheel { granularity, heads: vec![NONE; SLOT_COUNT], timers: Vec::new(), tick, count: 0 }
+    }
+
+    /// An empty wheel with memory for the timers 0 to `capacity`.
+    pub fn with_capacity(granularity: Micros, now: Micros, capacity: usize) -> TimerWheel {
+        TimerWheel { timers: vec![UNSET; capacity], ..TimerWheel::new(granularity, now) }
+    }
+
+    /// Number of timers that are set.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether no timer is set.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    fn slot_of_tick(tick: i64) -> usize {
+        tick.rem_euclid(SLOT_COUNT as i64) as usize
+    }
+
+    /// The slot for a deadline. An overdue timer goes into the slot that is looked at next.
+    fn slot_of(&self, deadline: Micros) -> usize {
+        Self::slot_of_tick(deadline.div_euclid(self.granularity).max(self.tick))
+    }
+
+    /// Sets or moves the timer `index`.
+    pub fn set(&mut self, index: u32, deadline: Micros) {
+        self.cancel(index);
+        let slot = self.slot_of(deadline);
+        if self.timers.len() <= index as usize {
+            self.timers.resize(index as usize + 1, UNSET);
+        }
+        let head = self.heads[slot];
+        self.timers[index as usize] = Timer { deadline, previous: NONE, next: head, slot: slot as u32 };
+        if head != NONE {
+            self.timers[head as usize].previous = index;
+        }
+        self.heads[slot] = index;
+        self.count += 1;
+    }
+
+    /// Cancels the timer `index` if it is set.
+    pub fn cancel(&mut self, index: u32) {
+        let set = self.timers.get(index as usize).copied().filter(|timer| timer.slot != NONE);
+        let Some(timer) = set else { return };
+        match timer.previous {
+            NONE => self.heads[timer.slot as usize] = timer.next,
+            previous => self.timers[previous as usize].next = timer.next,
+        }
+        if timer.next != NONE {
+            self.timers[timer.next as usize].previous = timer.previous;
+        }
+        self.timers[index as usize] = UNSET;
+        self.count -= 1;
+    }
+
+    /// Takes out one timer that is due; to be called until there is none. A clock that jumps ahead costs one turn of
+    /// the wheel.
+    pub fn pop_due(&mut self, now: Micros) -> Option<u32> {
+        let last = now.div_euclid(self.granularity);
+        if self.count == 0 {
+            self.tick = self.tick.max(last);
+            return None;
+        }
+        self.tick = self.tick.max(last - SLOT_COUNT as i64 + 1);
+        while self.tick <= last {
+            if let Some(index) = self.due_in_slot(Self::slot_of_tick(self.tick), now) {
+                self.cancel(index);
+                return Some(index);
+            }
+            if self.tick == last {
+                break;
+            }
+            self.tick += 1;
+        }
+        None
+    }
+
+    fn due_in_slot(&self, slot: usize, now: Micros) -> Option<u32> {
+        self.slot_timers(slot).find(|(_, timer)| timer.deadline <= now).map(|(index, _)| index)
+    }
+
+    fn slot_timers(&self, slot: usize) -> impl Iterator<Item = (u32, &Timer)> {
+        let at = |index: u32| Some((index, self.timers.get(index as usize)?));
+        std::iter::successors(at(self.heads[slot]), move |(_, timer)| at(timer.next))
+    }
+
+    /// When to call `pop_due` next: no later than the first deadline, except for timers beyond a whole turn.
+    pub fn next_deadline(&self) -> Option<Micros> {
+        if self.count == 0 {
+            return None;
+        }
+        let mut slots = (0..SLOT_COUNT as i64).map(|ahead| Self::slot_of_tick(self.tick + ahead));
+        let slot = slots.find(|slot| self.heads[*slot] != NONE)?;
+        self.slot_timers(slot).map(|(_, timer)| timer.deadline).min()
+    }
+
+    /// Bytes allocated, used or not.
+    pub fn memory_bytes(&self) -> usize {
+        self.heads.capacity() * size_of::<u32>() + self.timers.capacity() * size_of::<Timer>()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/front/src/config.rs
+++ b/crates/front/src/config.rs
@@ -1,11 +1,11 @@
 //! The one place where settings are read, checked and given defaults; a faulty key is named by its whole path.
 
 use crate::{frame, ring};
+use meadowrill_admission::cost::LookupClass;
 use meadowrill_core::door;
 use meadowrill_core::interface::{Micros, Settings};
 use meadowrill_events::plan::TEXT_MOST;
 use meadowrill_settings as own;
-use meadowrill_turns::cost::Kind;
 use serde_json::Value;
 use slog::Level;
 use std::fmt;
@@ -102,8 +102,8 @@
 pub struct Class {
     pub name: String,
     pub deadline_ms: f64,
-    /// What the door needs to know of it.
-    pub door: Kind,
+    /// What admission control needs to know of it.
+    pub admission: LookupClass,
     /// Its lookups carry a mark against repeats.
     pub keyed: bool,
     /// To run one twice is not the same as once.
@@ -291,12 +291,12 @@
             let all = class.get("group").value.is_some_and(|group| group == "all");
             let ttl = class.get("key_ttl_s").number(0.0, 0.0)?;
             let window = if keyed && all { door::micros(ttl) } else { 0 };
-            let door = Kind {
+            let admission = LookupClass {
                 worth: class.get("worth").number(1.0, 0.0)?,
-                budget: door::micros(class.get("goal_time_s").number(1.0, 0.0)?),
-                stretch: class.get("aim_stretch").number(0.0, 0.0)?,
+                latency_budget: door::micros(class.get("goal_time_s").number(1.0, 0.0)?),
+                budget_stretch: class.get("aim_stretch").number(0.0, 0.0)?,
             };
-            Ok(Class { name, deadline_ms, door, keyed, effect, window })
+            Ok(Class { name, deadline_ms, admission, keyed, effect, window })
         };
         let classes = classes.into_iter().enumerate().map(class).collect::<Result<Vec<_>, _>>()?;
         let longest = classes.iter().map(|class| class.deadline_ms).fold(0.0, f64::max);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -28,13 +28,14 @@
 use crate::report::{self, Metrics};
 use calloop::{EventLoop, Readiness, RegistrationToken};
 use compact_str::CompactString;
+use meadowrill_admission::config::{AdmissionConfig, ClientKey};
+use meadowrill_admission::controller::AdmissionController;
+use meadowrill_admission::identity::IdentityResolver;
+use meadowrill_admission::request::{AdmissionEvent, CapacityLimits};
 use meadowrill_core::control;
 use meadowrill_core::door::{contained, Indices};
 use meadowrill_core::interface::*;
 use meadowrill_events::subscriber::CopyBound;
-use meadowrill_turns::door::{Bounds, Door, Turn};
-use meadowrill_turns::names::Names;
-use meadowrill_turns::plan::{ClientBy, Plan};
 use slog::{debug, error, info, warn, Logger};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
@@ -57,7 +58,7 @@
     ended: Vec<Ended>,
     connected: Vec<Out>,
     heard: Vec<Heard>,
-    turns: Vec<Turn>,
+    admission_events: Vec<AdmissionEvent>,
     over: Vec<u32>,
     request: Vec<u8>,
 }
@@ -72,8 +73,8 @@
     /// Connections may be waiting to be accepted.
     pending_accept: bool,
     clients: Clients,
-    door: Door,
-    names: Names,
+    admission: AdmissionController,
+    identities: IdentityResolver,
     metrics: Metrics,
     availability: Availability,
     operators: Option<Operators>,
@@ -129,9 +130,12 @@
         let mut actions = Vec::new();
         let module = control::Front::start(config.seed, config.settings.clone(), now, &mut actions);
         let last = config.known["pos"].as_u64().unwrap_or(0);
-        let kinds: Vec<_> = config.classes.iter().map(|class| class.door).collect();
-        let bounds =
-            Bounds { lookups: config.lookups, bytes: config.buffers, longest_away: config.longest_away };
+        let kinds: Vec<_> = config.classes.iter().map(|class| class.admission).collect();
+        let bounds = CapacityLimits {
+            lookups: config.lookups,
+            bytes: config.buffers,
+            max_retry_after: config.longest_away,
+        };
         let operators = config.own.socket.as_ref().map(|path| Operators::listen(Path::new(path), &poll));
         let fleet = config.own.fleet.as_ref();
         let shared = config.own.replica.as_ref();
@@ -142,8 +146,8 @@
             listener: Some((listener, token)),
             pending_accept: true,
             clients: Clients::new(config.clients, config.draining, config.longest),
-            door: Door::new(config.own.turns.clone(), &kinds, bounds, config.seed, now),
-            names: Names::new(&config.own.turns, config.seed),
+            admission: AdmissionController::new(config.own.turns.clone(), &kinds, bounds, config.seed, now),
+            identities: IdentityResolver::new(&config.own.turns, config.seed),
             metrics: Metrics::default(),
             availability: Availability::default(),
             operators: operators.transpose()?,
@@ -204,7 +208,7 @@
     /// Waits until something is ready or a timer rings.
     fn wait(&mut self, events: &mut EventLoop<'static, Gathered>, gathered: &mut Gathered) -> io::Result<()> {
         let timer = self.due();
-        let next = [timer, self.door.next()].into_iter().flatten().min();
+        let next = [timer, self.admission.next_deadline()].into_iter().flatten().min();
         let next = next.map_or(TICK, |at| at - self.clock.now());
         let more = self.fronts.as_ref().is_some_and(Fronts::waits);
         let at_once = !self.events.is_empty() || !self.over.is_empty() || self.clients.waits() || more;
@@ -289,7 +293,7 @@
             self.ring(now);
             self.admit(now);
             self.hear(now);
-            self.turns(now);
+            self.poll_admission(now);
         });
         if let Err(panic) = rest {
             error!(self.log, "panic in a round"; "text" => panic);
@@ -312,10 +316,10 @@
             Key::Stream(number) => {
                 self.with_fronts(now, |fronts, poll| fronts.stream(number, ready, now, poll));
             }
-            Key::Report => report::log(&self.log, &self.door.report()),
+            Key::Report => report::log(&self.log, &self.admission.report()),
             Key::Operators => self.operators.iter_mut().for_each(|o| o.accept(&mut self.poll)),
             Key::Operator(number) => {
-                let (door, metrics, availability) = (&self.door, &self.metrics, &self.availability);
+                let (door, metrics, availability) = (&self.admission, &self.metrics, &self.availability);
                 let (calls, counts, fronts) = (&self.poll.calls, self.counts, &self.fronts);
                 let tell = |word: &str| match word {
                     "turns" => report::table(&door.report()),
@@ -387,9 +391,9 @@
         }
         info!(self.log, "configuration read again"; "journal" => %self.config.journal);
         if former != self.config.own.turns {
-            info!(self.log, "door renewed"; "waiting" => self.door.waiting(), "open" => self.door.open());
-            self.door.renew(now, self.config.own.turns.clone());
-            self.names = Names::new(&self.config.own.turns, self.config.seed);
+            info!(self.log, "door renewed"; "waiting" => self.admission.waiting(), "open" => self.admission.open());
+            self.admission.reconfigure(now, self.config.own.turns.clone());
+            self.identities = IdentityResolver::new(&self.config.own.turns, self.config.seed);
         }
         self.follow_plan(now);
         let address = self.config.journal;
@@ -398,10 +402,10 @@
 
     /// What else the settings of the door and of operators ask for.
     fn follow_plan(&mut self, now: Micros) {
-        let Plan { tenant_field, client_by, .. } = &self.config.own.turns;
-        let desk = match client_by {
-            ClientBy::Field(name) => Some(name.clone()),
-            ClientBy::Address | ClientBy::Connection => None,
+        let AdmissionConfig { tenant_field, client_key, .. } = &self.config.own.turns;
+        let desk = match client_key {
+            ClientKey::Field(name) => Some(name.clone()),
+            ClientKey::Address | ClientKey::Connection => None,
         };
         self.clients.who = frame::Who { tenant: tenant_field.clone(), desk };
         let again = self.config.own.report_every.map(|every| now + (every * 1e6) as Micros);
@@ -422,7 +426,7 @@
                 }
                 Timer::Tick => self.tick(now),
                 Timer::Report => {
-                    report::log(&self.log, &self.door.report());
+                    report::log(&self.log, &self.admission.report());
                     self.follow_plan(now);
                 }
                 Timer::Close => self.close(now),
@@ -485,7 +489,8 @@
                 Heard::Left { lookup } => {
                     if let Some(taken) = self.lookups.get_mut(&lookup) {
                         taken.owed = false;
-                        let waited = taken.place.take().is_some_and(|place| self.door.left(now, place));
+                        let waited =
+                            taken.place.take().is_some_and(|place| self.admission.cancel(now, place));
                         let asking = taken.effect == Effect::Asking;
                         if !waited && !asking {
                             self.events.push(Event::Left { id: lookup });
--- a/crates/front/src/front/actions.rs
+++ b/crates/front/src/front/actions.rs
@@ -53,7 +53,7 @@
         self.spare.over = over;
         self.hear(now);
         // Places that have come free are given on at once.
-        self.turns(now);
+        self.poll_admission(now);
         self.clients.flush(now, &self.poll);
     }
 
--- a/crates/front/src/front/lookups.rs
+++ b/crates/front/src/front/lookups.rs
@@ -3,9 +3,9 @@
 use super::Front;
 use crate::frame;
 use crate::net::Cause;
+use meadowrill_admission::identity::RequestOrigin;
+use meadowrill_admission::request::{Completion, Decision, LookupRequest, Ticket};
 use meadowrill_core::interface::*;
-use meadowrill_turns::door::{Done, Offer, Ticket, Verdict};
-use meadowrill_turns::names::Seen;
 use slog::debug;
 use smallvec::SmallVec;
 use std::net::IpAddr;
@@ -25,7 +25,7 @@
     pub(super) counts: bool,
     /// Its place at the door or behind it, until it was answered or has left.
     pub(super) place: Option<Ticket>,
-    pub(super) done: Done,
+    pub(super) done: Completion,
     /// By the number of the send: the connection and the serial, while it is out.
     pub(super) sends: SmallVec<[Option<(u64, u64)>; 4]>,
     /// Where effects are written down: how far its claim has come, and whether a send of it may have run.
@@ -62,15 +62,15 @@
         if usable.is_ok() {
             self.named.insert(request.id, lookup);
         }
-        let seen = Seen {
+        let origin = RequestOrigin {
             address: from,
             connection: client,
             tenant_field: request.tenant.as_deref(),
             client_field: request.desk.as_deref(),
         };
-        let (asker, kind) = (self.names.asker(seen), usable.unwrap_or(0));
+        let (identity, kind) = (self.identities.resolve(origin), usable.unwrap_or(0));
         let (size_kb, bytes) = (request.size_kb, request.body.len() as u32);
-        let (sends, done) = (SmallVec::new(), Done::default());
+        let (sends, done) = (SmallVec::new(), Completion::default());
         let (effect, ran, sources) = (Effect::None, false, SmallVec::new());
         let taken = Taken {
             client,
@@ -94,12 +94,15 @@
             self.clients.blame(client, now, &self.poll);
             return;
         }
-        let (verdict, place) =
-            match self.door.offer(now, Offer { id: lookup, asker, kind, size_kb, bytes, expires }, held) {
-                Verdict::In(place) => (Ok(true), Some(place)),
-                Verdict::Waits(place) => (Ok(false), Some(place)),
-                Verdict::Away(away) => (Err(away), None),
-            };
+        let (verdict, place) = match self.admission.admit(
+            now,
+            LookupRequest { id: lookup, identity, class: kind, size_kb, bytes, expires },
+            held,
+        ) {
+            Decision::Admitted(place) => (Ok(true), Some(place)),
+            Decision::Queued(place) => (Ok(false), Some(place)),
+            Decision::Rejected(away) => (Err(away), None),
+        };
         if let Some(taken) = self.lookups.get_mut(&lookup) {
             taken.place = place;
         }
@@ -148,7 +151,7 @@
         let taken = self.lookups.get_mut(&lookup).filter(|t| t.owed)?;
         taken.owed = false;
         if let Some(place) = taken.place.take() {
-            self.door.ended(now, place, taken.done);
+            self.admission.complete(now, place, taken.done);
         }
         let whose = (taken.client, taken.stream);
         if taken.effect != Effect::None {
@@ -163,10 +166,10 @@
     pub(super) fn half_closed(&mut self, lookup: u32, now: Micros) {
         let Some(taken) = self.lookups.get_mut(&lookup).filter(|t| t.owed) else { return };
         taken.counts = false;
-        let waits = taken.place.as_ref().is_some_and(|place| self.door.waits(place));
+        let waits = taken.place.as_ref().is_some_and(|place| self.admission.is_waiting(place));
         if waits || taken.effect == Effect::Asking {
             if let Some(place) = taken.place.take() {
-                self.door.left(now, place);
+                self.admission.cancel(now, place);
             }
             return self.nack(lookup, 0, now);
         }
--- a/crates/front/src/front/outcomes.rs
+++ b/crates/front/src/front/outcomes.rs
@@ -4,9 +4,9 @@
 use super::Front;
 use crate::frame;
 use crate::net::caches::{ending, report, Ended};
+use meadowrill_admission::request::Completion;
 use meadowrill_core::door::remark;
 use meadowrill_core::interface::*;
-use meadowrill_turns::door::Done;
 use slog::debug;
 
 impl Front {
@@ -71,7 +71,7 @@
             if ending == Ending::Satisfied {
                 // What carries no note came from a machine that does not tell; it counts as one that had it.
                 let hit = matches!(outcome.remark, Remark::Hit | Remark::None);
-                taken.done = Done { satisfied: true, hit, size_kb: outcome.size_kb, left: false };
+                taken.done = Completion { satisfied: true, hit, size_kb: outcome.size_kb, abandoned: false };
                 let current = head.status == 304;
                 let fields: &[(&str, &str)] = if current { &[("current", "1")] } else { &[] };
                 if self.lookups.get(&out.lookup).is_some_and(|t| t.owed && t.effect != Effect::None) {
--- a/crates/front/src/front/passage.rs
+++ b/crates/front/src/front/passage.rs
@@ -2,8 +2,8 @@
 
 use super::Front;
 use crate::frame;
+use meadowrill_admission::request::{AdmissionEvent, Rejection};
 use meadowrill_core::interface::*;
-use meadowrill_turns::door::{Away, Turn};
 use slog::debug;
 
 use super::lookups::{Effect, Taken};
@@ -29,12 +29,12 @@
     }
 
     /// No send was made, so to try again is harmless whatever the class.
-    pub(super) fn turn_away(&mut self, lookup: u32, away: Away, now: Micros) {
+    pub(super) fn turn_away(&mut self, lookup: u32, rejection: Rejection, now: Micros) {
         if let Some(taken) = self.lookups.get(&lookup) {
             debug!(self.log, "turned away"; "lookup" => taken.request.txn.as_str(), "client" => taken.client,
-                "why" => %away.why, "come_back_ms" => away.come_back / 1000, "booked" => away.booked);
+                "why" => %rejection.reason, "come_back_ms" => rejection.retry_after / 1000, "booked" => rejection.reserved);
         }
-        self.nack(lookup, away.come_back, now);
+        self.nack(lookup, rejection.retry_after, now);
     }
 
     pub(super) fn nack(&mut self, lookup: u32, come_back: Micros, now: Micros) {
@@ -47,27 +47,29 @@
         self.answer(lookup, (frame::NACKED, fields, &[]), now);
     }
 
-    /// Whose wait at the door is over.
-    pub(super) fn turns(&mut self, now: Micros) {
-        let mut turns = std::mem::take(&mut self.spare.turns);
-        self.door.turns(now, &mut turns);
-        for turn in turns.drain(..) {
-            match turn {
-                Turn::In { id, tenant, waited } => {
-                    let names = &self.door.plan().tenants;
-                    self.metrics
-                        .waited(names.get(usize::from(tenant)).map_or("", |t| &t.name), waited as f64 / 1e6);
+    /// Carries out what admission control has decided on lookups that waited.
+    pub(super) fn poll_admission(&mut self, now: Micros) {
+        let mut events = std::mem::take(&mut self.spare.admission_events);
+        self.admission.poll(now, &mut events);
+        for event in events.drain(..) {
+            match event {
+                AdmissionEvent::Admitted { id, tenant, waited } => {
+                    let tenants = &self.admission.config().tenants;
+                    self.metrics.waited(
+                        tenants.get(usize::from(tenant)).map_or("", |t| &t.name),
+                        waited as f64 / 1e6,
+                    );
                     debug!(self.log, "waited"; "lookup" => id, "us" => waited);
                     self.ask(id, now);
                 }
-                Turn::Away { id, away } => {
+                AdmissionEvent::Rejected { id, rejection } => {
                     if let Some(taken) = self.lookups.get_mut(&id) {
                         taken.place = None;
                     }
-                    self.turn_away(id, away, now);
+                    self.turn_away(id, rejection, now);
                 }
             }
         }
-        self.spare.turns = turns;
+        self.spare.admission_events = events;
     }
 }
--- a/crates/front/src/front/shared.rs
+++ b/crates/front/src/front/shared.rs
@@ -192,7 +192,8 @@
         let class = &self.config.classes[taken.kind];
         let Some(mark) = taken.request.unique.as_ref().filter(|_| class.effect) else { return false };
         let key = [mark.as_bytes(), b" ", class.name.as_bytes()].concat();
-        let terms = Terms { expires: taken.expires, budget: class.door.budget, window: class.window };
+        let terms =
+            Terms { expires: taken.expires, budget: class.admission.latency_budget, window: class.window };
         let Some(fronts) = &mut self.fronts else { return false };
         let token = u64::from(lookup);
         let asked = fronts.share(|replica, acts| replica.ask(now, token, &key, terms, acts));
--- a/crates/front/src/report.rs
+++ b/crates/front/src/report.rs
@@ -8,8 +8,10 @@
 
 use crate::front::availability::Availability;
 use crate::net::fronts::Fronts;
+use meadowrill_admission::controller::AdmissionController;
+use meadowrill_admission::report::{AdmissionReport, ClientReport, TenantCounters, TenantReport};
+use meadowrill_admission::request::RejectReason;
 use meadowrill_core::interface::Micros;
-use meadowrill_turns::door::{Door, Report, Why};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
@@ -62,7 +64,7 @@
     /// In the text format that scrapers read.
     pub fn text(
         &self,
-        door: &Door,
+        door: &AdmissionController,
         availability: &Availability,
         fronts: Option<&Fronts>,
         now: Micros,
@@ -73,7 +75,7 @@
             "Time that lookups waited before they were let in",
             self.waits.clone(),
         );
-        registry.register_collector(Box::new(Seen(door.report())));
+        registry.register_collector(Box::new(AdmissionCollector(door.report())));
         let mut own = Registry::with_prefix("meadowrill_front");
         own.register_collector(Box::new(availability::Seen::new(availability)));
         let mut registries = vec![registry, own];
@@ -115,9 +117,9 @@
 
 /// The door's own counts, read when somebody asks: nothing is counted twice.
 #[derive(Debug)]
-struct Seen(Report);
+struct AdmissionCollector(AdmissionReport);
 
-impl Collector for Seen {
+impl Collector for AdmissionCollector {
     fn encode(&self, mut encoder: DescriptorEncoder) -> Result<(), fmt::Error> {
         let report = &self.0;
         let mut gauge = |name: &str, help: &str, values: Vec<(Labels, f64)>| {
@@ -129,20 +131,20 @@
         };
         let tenant = |name: &str| vec![("tenant".to_string(), name.to_string())];
         let all = |value: f64| vec![(Labels::new(), value)];
-        gauge("limit", "Lookups that may be inside", all(report.limit))?;
+        gauge("limit", "Lookups that may be inside", all(report.concurrency_limit))?;
         gauge("overdue", "Lookups inside that no longer count", all(report.overdue as f64))?;
-        gauge("booked", "Turns that are booked", all(report.booked as f64))?;
-        let of = |value: fn(&meadowrill_turns::door::Holding) -> f64| {
+        gauge("booked", "Turns that are booked", all(report.reserved as f64))?;
+        let of = |value: fn(&TenantReport) -> f64| {
             report.tenants.iter().map(|t| (tenant(&t.name), value(t))).collect::<Vec<_>>()
         };
         gauge("waiting", "Lookups that wait", of(|t| f64::from(t.waiting)))?;
-        gauge("inside", "Lookups that are inside", of(|t| f64::from(t.inside)))?;
+        gauge("inside", "Lookups that are inside", of(|t| f64::from(t.in_flight)))?;
         let talkers = report.tenants.iter().flat_map(|t| {
-            let named = |talker: &meadowrill_turns::fair::Talker| {
-                let client = ("client".to_string(), talker.address.to_string());
-                ([tenant(&t.name), vec![client]].concat(), f64::from(talker.heard))
+            let named = |client_report: &ClientReport| {
+                let client = ("client".to_string(), client_report.address.to_string());
+                ([tenant(&t.name), vec![client]].concat(), f64::from(client_report.recent_lookups))
             };
-            t.loudest.iter().take(NAMED).map(named).collect::<Vec<_>>()
+            t.heaviest_clients.iter().take(NAMED).map(named).collect::<Vec<_>>()
         });
         gauge("heard", "Recent lookups of the loudest clients", talkers.collect())?;
         let mut counter = |name: &str, help: &str, values: Vec<(Labels, u64)>| {
@@ -156,41 +158,45 @@
                 ConstCounter::new(*value).encode(metric.encode_family(labels)?)
             })
         };
-        let of = |value: fn(&meadowrill_turns::door::Tally) -> u64| {
-            report.tenants.iter().map(|t| (tenant(&t.name), value(&t.tally))).collect::<Vec<_>>()
+        let of = |value: fn(&TenantCounters) -> u64| {
+            report.tenants.iter().map(|t| (tenant(&t.name), value(&t.counters))).collect::<Vec<_>>()
         };
         counter("offered", "Lookups read", of(|t| t.offered))?;
-        counter("let_in", "Lookups let in", of(|t| t.let_in))?;
+        counter("let_in", "Lookups let in", of(|t| t.admitted))?;
         counter("waited", "Lookups that had to wait", of(|t| t.waited))?;
         counter("satisfied", "Lookups satisfied", of(|t| t.satisfied))?;
-        counter("told_a_turn", "Lookups turned away with a booked turn", of(|t| t.booked))?;
+        counter("told_a_turn", "Lookups turned away with a booked turn", of(|t| t.reserved))?;
         let away = report.tenants.iter().flat_map(|t| {
-            Why::ALL.into_iter().zip(t.tally.away).map(|(why, count)| {
+            RejectReason::ALL.into_iter().zip(t.counters.rejected).map(|(why, count)| {
                 let why = ("why".to_string(), why.to_string());
                 ([tenant(&t.name), vec![why]].concat(), count)
             })
         });
         counter("turned_away", "Lookups turned away", away.collect())?;
-        let bookings = [("kept", report.kept), ("missed", report.missed), ("none", report.unbooked)];
+        let bookings = [
+            ("kept", report.reservations_redeemed),
+            ("missed", report.reservations_expired),
+            ("none", report.reservations_refused),
+        ];
         let bookings = bookings.map(|(what, n)| (vec![("outcome".to_string(), what.to_string())], n));
         counter("bookings", "Booked turns by what became of them", bookings.to_vec())
     }
 }
 
 /// Who holds the door, for an operator to read.
-pub fn table(report: &Report) -> String {
+pub fn table(report: &AdmissionReport) -> String {
     let mut text = String::new();
     let head = format!(
         "order {:?}, inside {} of {:.0} ({} overdue), waiting {}, booked {} (kept {}, missed {}, no place {})\n",
-        report.order,
-        report.inside,
-        report.limit,
+        report.discipline,
+        report.in_flight,
+        report.concurrency_limit,
         report.overdue,
         report.waiting,
-        report.booked,
-        report.kept,
-        report.missed,
-        report.unbooked
+        report.reserved,
+        report.reservations_redeemed,
+        report.reservations_expired,
+        report.reservations_refused
     );
     text.push_str(&head);
     let names = [
@@ -215,25 +221,25 @@
     };
     row(&mut text, &names.map(String::from));
     for t in &report.tenants {
-        let away: u64 = t.tally.away.iter().sum();
+        let away: u64 = t.counters.rejected.iter().sum();
         let cells = [
             t.name.clone(),
             t.weight.to_string(),
             t.waiting.to_string(),
-            t.inside.to_string(),
-            t.tally.offered.to_string(),
-            t.tally.let_in.to_string(),
-            t.tally.satisfied.to_string(),
+            t.in_flight.to_string(),
+            t.counters.offered.to_string(),
+            t.counters.admitted.to_string(),
+            t.counters.satisfied.to_string(),
             away.to_string(),
-            t.tally.booked.to_string(),
+            t.counters.reserved.to_string(),
         ];
         row(&mut text, &cells);
-        for c in t.loudest.iter().take(NAMED) {
+        for c in t.heaviest_clients.iter().take(NAMED) {
             // Writing to a text cannot fail.
             let _ = writeln!(
                 text,
                 "  {:<18}heard {}, waiting {}, inside {}, booked {}",
-                c.address, c.heard, c.waiting, c.inside, c.booked
+                c.address, c.recent_lookups, c.waiting, c.in_flight, c.reserved
             );
         }
     }
@@ -241,15 +247,16 @@
 }
 
 /// The same as lines of the log, one a tenant.
-pub fn log(log: &Logger, report: &Report) {
-    info!(log, "door"; "order" => ?report.order, "limit" => report.limit.round(), "inside" => report.inside,
-        "overdue" => report.overdue, "waiting" => report.waiting, "booked" => report.booked,
-        "kept" => report.kept, "missed" => report.missed, "unbooked" => report.unbooked);
+pub fn log(log: &Logger, report: &AdmissionReport) {
+    info!(log, "door"; "order" => ?report.discipline, "limit" => report.concurrency_limit.round(), "inside" => report.in_flight,
+        "overdue" => report.overdue, "waiting" => report.waiting, "booked" => report.reserved,
+        "kept" => report.reservations_redeemed, "missed" => report.reservations_expired, "unbooked" => report.reservations_refused);
     for t in &report.tenants {
-        let loudest = t.loudest.iter().take(NAMED).map(|c| format!("{}:{}", c.address, c.heard));
-        let away = Why::ALL.into_iter().zip(t.tally.away).filter(|(_, n)| *n > 0);
-        info!(log, "door, tenant"; "name" => &t.name, "waiting" => t.waiting, "inside" => t.inside,
-            "offered" => t.tally.offered, "let_in" => t.tally.let_in, "satisfied" => t.tally.satisfied,
+        let loudest =
+            t.heaviest_clients.iter().take(NAMED).map(|c| format!("{}:{}", c.address, c.recent_lookups));
+        let away = RejectReason::ALL.into_iter().zip(t.counters.rejected).filter(|(_, n)| *n > 0);
+        info!(log, "door, tenant"; "name" => &t.name, "waiting" => t.waiting, "inside" => t.in_flight,
+            "offered" => t.counters.offered, "let_in" => t.counters.admitted, "satisfied" => t.counters.satisfied,
             "turned_away" => away.map(|(why, n)| format!("{why}:{n}")).collect::<Vec<_>>().join(" "),
             "loudest" => loudest.collect::<Vec<_>>().join(" "));
     }
