The test of a purge names an object and its group in one line

Cause: that both are one purge of the object was shown only for lines that name one of them. Change: the first purge of the test names both; another object of the group stays as it was.

--- a/crates/front/tests/events.rs
+++ b/crates/front/tests/events.rs
@@ -171,7 +171,8 @@
         assert_eq!(front.oldest(OBJECT), None);
     }
     let purged = now_ms();
-    site.service.tell(purge_of(OBJECT));
+    // Of both, the object is meant: the other one is in the group, too.
+    site.service.tell(json!({"expire": {"name": OBJECT, "set": 17, "stamp": purged as u64}}));
     until(HANG, "done", || site.in_force() == 1);
     // The first lookup after the word: nothing older than the purge.
     for front in &mut fronts {
