--- a/crates/rig/src/events.rs
+++ b/crates/rig/src/events.rs
@@ -7,14 +7,18 @@
 
 pub mod check;
 pub mod clock;
+pub mod costs;
+pub mod done;
 pub mod faults;
 pub mod groups;
 pub mod hollow;
 pub mod layout;
 pub mod numbering;
+pub mod outcome;
 pub mod protocol;
 pub mod record;
 pub mod relays;
 pub mod run;
 pub mod scenario;
 pub mod subscribers;
+pub mod teller;
--- a/crates/rig/tests/events.rs
+++ b/crates/rig/tests/events.rs
@@ -1,8 +1,9 @@
 //! Purges through relays, as processes of the program, to hollow subscribers: small sizes and short faults of every kind.
 //! The program has to be built before, which a test of the whole workspace does.
 
+use meadowrill_rig::events::outcome::Outcome;
 use meadowrill_rig::events::protocol::Sabotage;
-use meadowrill_rig::events::run::{play_run, Outcome, Setup};
+use meadowrill_rig::events::run::{play_run, Setup};
 use meadowrill_rig::events::scenario::{Length, Scenario};
 use std::path::Path;
 
