fleet.events.tries has bounds, and the bound on done says what two failures add

Cause: tries 0 passed the check; a front would have turned to another relay before each heartbeat. The bound on done was written without its condition of one failure. Result: one more case of faulty keys, red without the check.

--- a/crates/events/src/plan.rs
+++ b/crates/events/src/plan.rs
@@ -9,6 +9,8 @@
 pub const TEXT_MOST: usize = 64;
 /// A relay may follow one that follows the publisher; no farther.
 pub(crate) const RELAYS_IN_LINE: u32 = 2;
+/// Heartbeats that may be tried at one relay.
+const TRIES_MOST: u32 = 100;
 /// Relays that may be listed.
 pub const RELAYS_MOST: usize = 64;
 
@@ -81,8 +83,9 @@
         span + span * self.drift_per_mille / 1000
     }
 
-    /// The longest that an event can take to be in force everywhere, once it is published: a subscriber that lags gets
-    /// its last lease after `lag_most`, and one that has gone keeps it for `lease`.
+    /// The longest that an event can take to be in force everywhere, once it is published and after one failure: a
+    /// subscriber that lags gets its last lease after `lag_most`, and one that has gone keeps it for `lease`. Where its
+    /// relay goes as well before that lease is over, it takes up to one lease more.
     pub fn done_within(&self) -> Micros {
         let last_lease = self.lag_most + self.with_drift(self.lease) + 4 * self.batch;
         last_lease.max(self.with_drift(self.copy_age) + 2 * self.batch)
@@ -125,6 +128,9 @@
                 );
             }
         }
+        if !(1..=TRIES_MOST).contains(&self.tries) {
+            return wrong("tries", format!("is not within 1 to {TRIES_MOST}"));
+        }
         if !(1_000..=10_000_000).contains(&self.purges_most) {
             return wrong("purges_most", "is not within 1000 to 10000000".into());
         }
--- a/crates/settings/tests/events.rs
+++ b/crates/settings/tests/events.rs
@@ -118,6 +118,7 @@
         ("copy_age_ms: 1500", "copy_age_ms: 0", "fleet.events.copy_age_ms", 15),
         ("keep_s: 60", "keep_s: 1", "fleet.events.keep_s", 16),
         ("purges_most: 5000", "purges_most: 10", "fleet.events.purges_most", 17),
+        ("tries: 4", "tries: 0", "fleet.events.tries", 18),
         ("name: \"r2\"\n    window", "name: \"r3\"\n    window", "fleet.relay.name", 21),
         ("    name: \"r2\"\n    window", "    window", "fleet.relay.name", 20),
         ("window_bytes: 100000", "window_bytes: 1", "fleet.relay.window_bytes", 22),
