--- a/crates/routing/src/expiring_map.rs
+++ b/crates/routing/src/expiring_map.rs
@@ -4,58 +4,92 @@
 use std::collections::{HashMap, VecDeque};
 use std::hash::Hash;
 
-/// Entries expire after a lifetime; beyond the capacity the oldest go first.
+/// Entries expire after a lifetime; beyond the capacity the oldest insertions go first.
 ///
-/// Invariant: `order` holds one element for each insertion that is neither expired nor evicted, oldest first; an entry
-/// is removed from `entries` with the element of its latest insertion.
+/// Invariants: `order` holds one element for each insertion that is neither expired nor evicted, oldest first, at most
+/// `capacity` of them; an entry is removed from `entries` with the element of its latest insertion and with no other.
+/// Insertions are told apart by their numbers, as several may come at one moment.
 pub(crate) struct ExpiringMap<K, V> {
-    entries: HashMap<K, (Micros, V)>,
-    order: VecDeque<(Micros, K)>,
+    entries: HashMap<K, Entry<V>>,
+    order: VecDeque<Insertion<K>>,
+    next_number: u64,
     lifetime: Micros,
     capacity: usize,
 }
 
+/// What a key holds since its latest insertion.
+struct Entry<V> {
+    number: u64,
+    inserted_at: Micros,
+    value: V,
+}
+
+/// One insertion of a key.
+struct Insertion<K> {
+    number: u64,
+    at: Micros,
+    key: K,
+}
+
 impl<K: Copy + Eq + Hash, V: Copy> ExpiringMap<K, V> {
     pub(crate) fn new(lifetime: Micros, capacity: usize) -> Self {
         ExpiringMap {
             entries: HashMap::new(),
             order: VecDeque::new(),
+            next_number: 0,
             lifetime,
             capacity,
         }
     }
 
-    /// Inserts or renews an entry. Returns the value of the first entry that had to go before its lifetime was over; an
-    /// insertion evicts more than one only where expired ones go with it.
-    ///
-    /// With a capacity of one, a second insertion at the same moment evicts the entry itself (KNOWN-RED.txt).
+    /// Inserts or renews an entry. Returns the value that was evicted before its lifetime was over, if one was: an
+    /// insertion evicts one such entry at most, and never its own.
     pub(crate) fn insert(&mut self, now: Micros, key: K, value: V) -> Option<V> {
-        self.entries.insert(key, (now, value));
-        self.order.push_back((now, key));
-        let mut evicted = None;
-        while self.expired(now) || self.order.len() > self.capacity {
-            let Some((inserted_at, oldest)) = self.order.pop_front() else {
-                break;
-            };
-            let current = self.entries.get(&oldest).copied();
-            if let Some((_, value)) = current.filter(|(at, _)| *at == inserted_at) {
-                self.entries.remove(&oldest);
-                let early = inserted_at + self.lifetime >= now;
-                evicted = evicted.or(Some(value).filter(|_| early));
-            }
+        let number = self.next_number;
+        self.next_number += 1;
+        let entry = Entry {
+            number,
+            inserted_at: now,
+            value,
+        };
+        self.entries.insert(key, entry);
+        self.order.push_back(Insertion {
+            number,
+            at: now,
+            key,
+        });
+        self.remove_expired(now);
+        if self.order.len() > self.capacity {
+            self.remove_oldest()
+        } else {
+            None
         }
-        evicted
     }
 
-    fn expired(&self, now: Micros) -> bool {
-        self.order
-            .front()
-            .is_some_and(|(at, _)| at + self.lifetime < now)
+    fn remove_expired(&mut self, now: Micros) {
+        let lifetime = self.lifetime;
+        let expired = |insertion: &Insertion<K>| insertion.at + lifetime < now;
+        while self.order.front().is_some_and(expired) {
+            self.remove_oldest();
+        }
+    }
+
+    /// Removes the oldest insertion, and the entry where it was not renewed since; returns the value of that entry.
+    fn remove_oldest(&mut self) -> Option<V> {
+        let oldest = self.order.pop_front()?;
+        let renewed = self
+            .entries
+            .get(&oldest.key)
+            .is_some_and(|entry| entry.number != oldest.number);
+        if renewed {
+            return None;
+        }
+        self.entries.remove(&oldest.key).map(|entry| entry.value)
     }
 
     /// The value of an entry whose lifetime is not over.
     pub(crate) fn get(&self, now: Micros, key: K) -> Option<V> {
-        let (inserted_at, value) = self.entries.get(&key)?;
-        (inserted_at + self.lifetime >= now).then_some(*value)
+        let entry = self.entries.get(&key)?;
+        (entry.inserted_at + self.lifetime >= now).then_some(entry.value)
     }
 }
--- a/crates/routing/src/freshness.rs
+++ b/crates/routing/src/freshness.rs
@@ -47,8 +47,7 @@
     any_invalidation: bool,
     discovery_lags_since: Option<Micros>,
     copy_bound: CopyBound,
-    /// The latest invalidation that was forgotten for want of capacity. Lost where two are forgotten at one moment: see
-    /// KNOWN-RED.txt.
+    /// The latest invalidation that was forgotten for want of capacity.
     forgotten: ExpiringMap<(), Micros>,
 }
 
