--- a/crates/proxy/src/net/endpoints.rs
+++ b/crates/proxy/src/net/endpoints.rs
@@ -152,6 +152,12 @@
         }
     }
 
+    /// Attempts that are in flight now.
+    pub(crate) fn attempts_in_flight(&self) -> usize {
+        let connections = self.connections.values();
+        connections.filter(|c| c.attempt.is_some()).count()
+    }
+
     /// Whether an attempt is still in flight.
     pub(crate) fn is_in_flight(&self, number: u64, serial: u64) -> bool {
         self.connections
--- a/crates/proxy/src/proxy/admission.rs
+++ b/crates/proxy/src/proxy/admission.rs
@@ -56,7 +56,8 @@
         if let Some(request) = self.requests.get(id) {
             debug!(self.log, "request rejected by admission control"; "request" => request.message.request_id.as_str(),
                 "client" => request.client, "reason" => %rejection.reason,
-                "retry_after_ms" => rejection.retry_after / 1000, "reserved" => rejection.reserved);
+                "retry_after_ms" => rejection.retry_after / 1000, "reserved" => rejection.reserved,
+                "buffer_bytes" => self.poll.buffer_memory.bytes());
         }
         self.reject_request(id, rejection.retry_after, now);
     }
--- a/crates/proxy/src/proxy/operators.rs
+++ b/crates/proxy/src/proxy/operators.rs
@@ -6,7 +6,8 @@
 use crate::net::operators::Operators;
 use crate::net::peers::Peers;
 use crate::net::syscalls::SyscallCounters;
-use crate::report::{self, Metrics};
+use crate::report::resources::Resources;
+use crate::report::{self, MetricSources, Metrics};
 use meadowrill_admission::controller::AdmissionController;
 use meadowrill_replication::replica::Replica;
 use meadowrill_routing::interface::Micros;
@@ -24,6 +25,7 @@
     admission: &'a AdmissionController,
     metrics: &'a Metrics,
     availability: &'a Availability,
+    resources: Resources,
     fleet: &'a Fleet,
     syscalls: &'a SyscallCounters,
     benchmark_counts: Option<fn() -> String>,
@@ -37,6 +39,7 @@
             admission: &self.admission.controller,
             metrics: &self.metrics,
             availability: &self.availability,
+            resources: self.resources(),
             fleet: &self.fleet,
             syscalls: &self.poll.syscalls,
             benchmark_counts: self.operators.benchmark_counts,
@@ -46,6 +49,14 @@
             operators.handle_ready(number, &self.poll, |word| answers.answer(word));
         }
     }
+
+    fn resources(&self) -> Resources {
+        Resources {
+            buffer_bytes: self.poll.buffer_memory.bytes(),
+            buffer_limit: self.config.max_buffer_bytes,
+            attempts_in_flight: self.upstream.connections.attempts_in_flight(),
+        }
+    }
 }
 
 impl Answers<'_> {
@@ -53,9 +64,7 @@
         let (now, peers) = (self.now, self.fleet.peers.as_ref());
         match word {
             "turns" => report::admission::table(&self.admission.report()),
-            "metrics" => self
-                .metrics
-                .encode(self.admission, self.availability, peers, now),
+            "metrics" => self.metrics.encode(&self.metric_sources(), now),
             "fleet events" => events_report(peers, |events| events.table(now)),
             "fleet events json" => events_report(peers, |events| events.json(now)),
             "fleet" => fleet_report(peers, |peers| report::fleet::table(peers.view(), now)),
@@ -68,6 +77,15 @@
         }
     }
 
+    fn metric_sources(&self) -> MetricSources<'_> {
+        MetricSources {
+            admission: self.admission,
+            availability: self.availability,
+            peers: self.fleet.peers.as_ref(),
+            resources: self.resources,
+        }
+    }
+
     fn counts(&self) -> String {
         let further = self
             .benchmark_counts
--- a/crates/proxy/src/proxy/routing.rs
+++ b/crates/proxy/src/proxy/routing.rs
@@ -11,7 +11,9 @@
 use meadowrill_routing::host::{catch_panic, CaughtPanic};
 use meadowrill_routing::interface::{Action, Event, LogEvent, Micros};
 use meadowrill_routing::router::Router;
-use slog::{error, info};
+use slog::{debug, error, info};
+
+const MICROS_PER_MILLI: Micros = 1_000;
 
 /// The router, what waits for it, and what it asked for and was not done yet.
 pub(super) struct RouterQueue {
@@ -126,7 +128,7 @@
                 timeout,
                 fill,
             } => self.start_attempt(id, endpoint, timeout, fill, now),
-            Action::Reject { id, retry_after } => self.reject_request(id, retry_after, now),
+            Action::Reject { id, retry_after } => self.reject_by_router(id, retry_after, now),
             Action::Fail { id } => self.respond(id, &Response::Failed, now),
             Action::CancelAttempt { id, attempt } => {
                 if let Some(attempt) = self.requests.attempt(id, attempt) {
@@ -153,6 +155,19 @@
         }
     }
 
+    /// Rejects a request for which the router has no attempt to make, or none left.
+    fn reject_by_router(&mut self, id: u32, retry_after: Micros, now: Micros) {
+        self.metrics.count_router_rejection();
+        if let Some(request) = self.requests.get(id) {
+            debug!(self.log, "request rejected by the router"; "request" => request.message.request_id.as_str(),
+                "client" => request.client, "remaining_us" => request.deadline - now,
+                "retry_after_ms" => retry_after / MICROS_PER_MILLI,
+                "attempts_in_flight" => self.upstream.connections.attempts_in_flight(),
+                "buffer_bytes" => self.poll.buffer_memory.bytes());
+        }
+        self.reject_request(id, retry_after, now);
+    }
+
     /// Words what the router has to say to an operator.
     fn log_decision(&self, event: LogEvent) {
         let endpoint = |stable_id: u64| format!("{stable_id:012x}");
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -8,6 +8,7 @@
 //! | `fleet` | the membership view |
 //! | `replication` | the replicated state |
 //! | `distribution` | the distribution of events |
+//! | `resources` | buffers, and attempts in flight |
 //! | `collector` | metrics that are read when somebody asks |
 
 pub(crate) mod admission;
@@ -16,15 +17,18 @@
 pub(crate) mod distribution;
 pub(crate) mod fleet;
 pub(crate) mod replication;
+pub(crate) mod resources;
 
 use self::admission::AdmissionCollector;
 use self::availability::AvailabilityCollector;
 use self::collector::{label, Labels};
+use self::resources::Resources;
 use crate::net::peers::Peers;
 use crate::proxy::availability::Availability;
 use meadowrill_admission::controller::AdmissionController;
 use meadowrill_routing::interface::Micros;
 use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 use prometheus_client::registry::Registry;
@@ -39,11 +43,20 @@
     Histogram::new(exponential_buckets(0.001, 2.0, 17))
 }
 
-/// Histograms of the proxy; all other metrics are read when somebody asks.
+/// What metrics are read from when somebody asks.
+pub(crate) struct MetricSources<'a> {
+    pub(crate) admission: &'a AdmissionController,
+    pub(crate) availability: &'a Availability,
+    pub(crate) peers: Option<&'a Peers>,
+    pub(crate) resources: Resources,
+}
+
+/// Histograms and event counts of the proxy; all other metrics are read when somebody asks.
 pub(crate) struct Metrics {
     waits: Family<Labels, Histogram>,
     replication_lags: Family<Labels, Histogram>,
     purge_ages: Histogram,
+    router_rejections: Counter,
 }
 
 impl Default for Metrics {
@@ -54,6 +67,7 @@
             waits: Family::new_with_constructor(new_wait),
             replication_lags: Family::new_with_constructor(new_age),
             purge_ages: age_histogram(),
+            router_rejections: Counter::default(),
         }
     }
 }
@@ -78,23 +92,29 @@
         self.purge_ages.observe(seconds);
     }
 
+    /// The router rejected a request.
+    pub(crate) fn count_router_rejection(&self) {
+        self.router_rejections.inc();
+    }
+
     /// In the text format that scrapers read.
-    pub(crate) fn encode(
-        &self,
-        admission: &AdmissionController,
-        availability: &Availability,
-        peers: Option<&Peers>,
-        now: Micros,
-    ) -> String {
+    pub(crate) fn encode(&self, sources: &MetricSources<'_>, now: Micros) -> String {
+        let peers = sources.peers;
         let mut registry = Registry::with_prefix("meadowrill_door");
         registry.register(
             "wait_seconds",
             "Time that lookups waited before they were let in",
             self.waits.clone(),
         );
-        registry.register_collector(Box::new(AdmissionCollector(admission.report())));
+        registry.register_collector(Box::new(AdmissionCollector(sources.admission.report())));
         let mut own = Registry::with_prefix("meadowrill_front");
-        own.register_collector(Box::new(AvailabilityCollector::new(availability)));
+        own.register_collector(Box::new(AvailabilityCollector::new(sources.availability)));
+        own.register_collector(Box::new(resources::metrics(&sources.resources)));
+        own.register(
+            "router_rejections",
+            "Requests for which the router had no attempt to make, or none left",
+            self.router_rejections.clone(),
+        );
         let mut registries = vec![registry, own];
         if let Some(peers) = peers {
             let mut registry = Registry::with_prefix("meadowrill_fleet");
