--- a/crates/event-distribution/src/publisher.rs
+++ b/crates/event-distribution/src/publisher.rs
@@ -20,6 +20,7 @@
 use crate::settings::{DistributionSettings, Identity, RelayLimits};
 use crate::status::DistributorStatus;
 use crate::time::{Micros, SECOND};
+use crate::timestamp;
 use crate::wire::{self, Body};
 use batching::PendingEvent;
 use in_force::InForceTracker;
@@ -166,7 +167,12 @@
         let Some(newer) = newer.filter(|_| self.recovery.is_none()) else {
             return;
         };
-        let epoch = epoch::beyond(newer, self.seed);
+        self.begin_epoch_beyond(newer, now, out);
+    }
+
+    /// Begins an epoch that nobody continues with: everybody takes a snapshot.
+    fn begin_epoch_beyond(&mut self, epoch: Epoch, now: Micros, out: &mut Vec<Output>) {
+        let epoch = epoch::beyond(epoch, self.seed);
         // What is not in force yet is so once all have come to the new epoch, which takes a snapshot of it, and copies from
         // before now are too old: what is in force stays where it is.
         self.log.begin_epoch(epoch, None);
@@ -175,6 +181,26 @@
         out.push(Output::Notice(Notice::EpochStarted { position }));
     }
 
+    /// Events of the service are missing for good, and may have been purges of anything: copies from before now are to be
+    /// refused. All come to know by the snapshot of a new epoch, without which nobody has a lease.
+    pub fn bound_missed(&mut self, now: Micros, out: &mut Vec<Output>) {
+        let floor = timestamp::as_sent(now);
+        if let Some(recovery) = &mut self.recovery {
+            // Nobody is in an epoch of this start yet.
+            recovery.raise_floor(floor);
+            return;
+        }
+        self.log.purges.raise_floor(floor);
+        let Some(former) = self.log.position() else {
+            return;
+        };
+        self.append_pending(now);
+        self.begin_epoch_beyond(former.epoch, now, out);
+        if let Some(head) = self.log.position().filter(|_| self.has_caught_up) {
+            self.distributor.require_for_lease(head);
+        }
+    }
+
     /// Goes over from recovery to publishing, once all is there or the time is over.
     fn end_recovery(&mut self, now: Micros, out: &mut Vec<Output>) {
         let Some(recovery) = &mut self.recovery else {
--- a/crates/event-distribution/src/publisher/recovery.rs
+++ b/crates/event-distribution/src/publisher/recovery.rs
@@ -79,6 +79,11 @@
         self.follower.complete_position()
     }
 
+    /// Copies from before this timestamp are to be refused.
+    pub(super) fn raise_floor(&mut self, floor: Micros) {
+        self.follower.log.purges.raise_floor(floor);
+    }
+
     /// The purges that were found, also by a snapshot that was broken off.
     pub(super) fn into_purges(self) -> PurgeSet {
         self.follower.log.purges
--- a/crates/event-distribution/tests/regressions/publisher.rs
+++ b/crates/event-distribution/tests/regressions/publisher.rs
@@ -4,9 +4,12 @@
 use crate::simulation::{Network, FLEET, START};
 use meadowrill_event_distribution::counters::RejectReason;
 use meadowrill_event_distribution::event::{Epoch, LogPosition, PurgeKey};
+use meadowrill_event_distribution::output::Output;
 use meadowrill_event_distribution::publisher::Publisher;
 use meadowrill_event_distribution::settings::{RelayLimits, SECOND};
+use meadowrill_event_distribution::subscriber::Subscriber;
 use meadowrill_event_distribution::wire::{self, Batch, Body, SnapshotPart};
+use meadowrill_event_distribution::Micros;
 
 /// The age of the last event was read from the window, which may have lost it.
 #[test]
@@ -211,3 +214,58 @@
     publish(&mut network, 7 * SECOND);
     assert_eq!(network.first_lagging(0), None);
 }
+
+/// One batch interval of a publisher and a subscriber that reach each other.
+fn exchange(publisher: &mut Publisher, subscriber: &mut Subscriber, now: Micros) {
+    let (mut from_publisher, mut from_subscriber) = (Vec::new(), Vec::new());
+    subscriber.tick(now, &mut from_subscriber);
+    publisher.tick(now, &mut from_publisher);
+    while !(from_publisher.is_empty() && from_subscriber.is_empty()) {
+        for bytes in sent(&std::mem::take(&mut from_subscriber)) {
+            publisher.receive(now, &bytes, &mut from_publisher);
+        }
+        for bytes in sent(&std::mem::take(&mut from_publisher)) {
+            subscriber.receive(now, &bytes, &mut from_subscriber);
+        }
+    }
+}
+
+fn sent(out: &[Output]) -> Vec<Vec<u8>> {
+    let datagrams = out.iter().filter_map(|output| match output {
+        Output::Send { bytes, .. } => Some(bytes.clone()),
+        _ => None,
+    });
+    datagrams.collect()
+}
+
+// Guards against subscribers that serve old copies under a lease after the publisher has missed events of its service.
+#[test]
+fn events_that_the_publisher_missed_bound_the_copies_of_all_subscribers() {
+    let settings = settings(1);
+    let mut publisher = publisher(RelayLimits::default());
+    let mut subscriber = subscriber(1);
+    let mut now = START;
+    while !subscriber.has_lease(now) {
+        now += settings.batch_interval;
+        exchange(&mut publisher, &mut subscriber, now);
+        assert!(now < START + 10 * SECOND, "never a lease");
+    }
+    assert_eq!(subscriber.freshness_bound(now).not_before, None);
+    let missed_at = now;
+    publisher.bound_missed(now, &mut Vec::new());
+    let bounded = |subscriber: &Subscriber, now| {
+        let bound = subscriber.freshness_bound(now).not_before;
+        bound.is_some_and(|not_before| not_before >= missed_at)
+    };
+    while !(bounded(&subscriber, now) && subscriber.has_lease(now)) {
+        now += settings.batch_interval;
+        exchange(&mut publisher, &mut subscriber, now);
+        let former_lease_is_over = now > missed_at + settings.lease_duration;
+        let is_safe = bounded(&subscriber, now) || !subscriber.has_lease(now);
+        assert!(
+            is_safe || !former_lease_is_over,
+            "a lease without the bound"
+        );
+        assert!(now < missed_at + 10 * SECOND, "never a lease again");
+    }
+}
--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -1,15 +1,18 @@
 //! The connection to the discovery service: the endpoint list and invalidations.
 //!
 //! The service numbers its events without gaps and sends a line each second. Invariants: an event is passed on at most
-//! once and in order; an event that is missing or unreadable is polled for again, and passed over, without a log line,
-//! once it was polled for [`MAX_REPOLLS`] times in vain; whatever the service may have held back since its last line counts as lag until a line says that there is
-//! nothing more. An outage is reported once, however often the connection is tried.
+//! once and in order; an event that is missing or unreadable is polled for again, and passed over once it was polled for
+//! [`MAX_REPOLLS`] times in vain; whoever has the events is told of each that is passed over ([`Notice::Missed`]), before
+//! those behind it; whatever the service may have held back since its last line counts as lag until a line says that
+//! there is nothing more. An outage is reported once, however often the connection is tried.
 
 pub(super) mod codec;
 mod error;
+mod missed_events;
 
 pub(crate) use self::codec::{EndpointRecord, Update};
 pub(crate) use self::error::{log_event, ContactEvent, Loss};
+pub(crate) use self::missed_events::MissedEvents;
 
 use self::codec::{parse_line, Line};
 use self::error::LineError;
@@ -42,15 +45,20 @@
 pub(crate) enum Notice {
     /// A change to be put in force.
     Update(Update),
+    /// Events will not come any more.
+    Missed(MissedEvents),
     /// For the log.
     Event(ContactEvent),
 }
 
-/// An event that the configuration brings from before the start; none for one without a change.
-pub(crate) fn known_entry(value: &Value) -> Option<Notice> {
+/// What an event that the configuration brings from before the start says; nothing for one without a change.
+pub(crate) fn known_entry(value: &Value) -> Vec<Notice> {
     match codec::parse_entry(value) {
-        Ok(line) => line.update.map(Notice::Update),
-        Err(error) => Some(Notice::Event(ContactEvent::UnreadableLine(error))),
+        Ok(line) => line.update.map(Notice::Update).into_iter().collect(),
+        Err(error) => vec![
+            Notice::Event(ContactEvent::UnreadableLine(error)),
+            Notice::Missed(MissedEvents::UnreadableEntry),
+        ],
     }
 }
 
@@ -61,6 +69,8 @@
     last_position: u64,
     /// How often in a row the event behind it was missing.
     repolls: u32,
+    /// The lowest number that the service stood at behind `last_position`, until it has come to that again.
+    went_back_to: Option<u64>,
     /// The connection is up.
     connected: bool,
     received_at: Micros,
@@ -79,6 +89,7 @@
             connection: None,
             last_position,
             repolls: 0,
+            went_back_to: None,
             connected: false,
             received_at: 0,
             connecting_at: LONG_AGO,
@@ -229,17 +240,17 @@
             let text = &stream.inbound.bytes()[..end];
             let line = (!text.trim_ascii().is_empty()).then(|| parse_line(text));
             stream.inbound.consume(end + 1);
-            self.received_at = now;
             if let Some(line) = line {
                 self.handle_line(line, notices)?;
             }
+            self.received_at = now;
         }
         Ok(())
     }
 
     /// A number that is not the next one shows that an event was missed or could not be read, and it is polled for again:
     /// to go on would lose an invalidation for good. What stays missing or unreadable is passed over in the end, so that
-    /// the events behind it are received at all; if it was an invalidation, it is lost (docs/known-limits.md).
+    /// the events behind it are received at all, and that is told.
     fn handle_line(
         &mut self,
         line: Result<Line, LineError>,
@@ -260,17 +271,42 @@
                 after: self.last_position,
             });
         }
+        if let Some(position) = position {
+            self.check_renumbered(position, update.is_some(), notices);
+        }
         if update.is_none() && position == Some(self.last_position) {
             self.lag_since = None;
         }
         // An event that was received before would put an older list back.
         if position.is_none_or(|position| position > self.last_position) {
+            if missed {
+                let after = self.last_position;
+                let until =
+                    position.map_or(after, |position| position - u64::from(update.is_some()));
+                notices.push(Notice::Missed(MissedEvents::Skipped { after, until }));
+            }
             self.last_position = position.unwrap_or(self.last_position);
             self.repolls = 0;
             notices.extend(update.map(Notice::Update));
         }
         Ok(())
     }
+
+    /// A service that says that all is told, and stands behind what was received, holds its events back or gives its
+    /// numbers anew. Once it has come to the last position again, other events may have had the numbers in between.
+    fn check_renumbered(&mut self, position: u64, is_event: bool, notices: &mut Vec<Notice>) {
+        if position >= self.last_position {
+            let until = self.last_position;
+            let renumbered = self.went_back_to.take();
+            notices.extend(
+                renumbered.map(|from| Notice::Missed(MissedEvents::Renumbered { from, until })),
+            );
+        } else if !is_event {
+            self.lag_since = self.lag_since.or(Some(self.received_at));
+            let lowest = self.went_back_to.unwrap_or(position).min(position);
+            self.went_back_to = Some(lowest);
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/proxy/src/proxy/endpoint_list.rs
+++ b/crates/proxy/src/proxy/endpoint_list.rs
@@ -1,11 +1,13 @@
 //! What discovery tells: the list of endpoints, and invalidations.
 
 use super::Proxy;
-use crate::net::discovery::{self, log_event, DiscoveryClient, EndpointRecord, Notice, Update};
+use crate::net::discovery::{
+    self, log_event, DiscoveryClient, EndpointRecord, MissedEvents, Notice, Update,
+};
 use crate::net::Poll;
 use meadowrill_routing::host::stable_id;
 use meadowrill_routing::interface::{EndpointEntry, EndpointStatus, EndpointUpdate, Event, Micros};
-use slog::info;
+use slog::{info, warn};
 
 /// The connection to the discovery service.
 pub(super) struct Discovery {
@@ -19,7 +21,7 @@
     pub(super) fn apply_initial_list(&mut self, now: Micros) {
         let initial = std::mem::take(&mut self.config.initial_list);
         for entry in initial["entries"].as_array().into_iter().flatten() {
-            if let Some(notice) = discovery::known_entry(entry) {
+            for notice in discovery::known_entry(entry) {
                 self.apply_notice(notice, now);
             }
         }
@@ -57,6 +59,7 @@
     fn apply_notice(&mut self, notice: Notice, now: Micros) {
         match notice {
             Notice::Event(event) => log_event(&self.log, &event),
+            Notice::Missed(missed) => self.bound_missed_invalidations(missed),
             Notice::Update(Update::Invalidation {
                 object,
                 group,
@@ -78,6 +81,15 @@
         }
     }
 
+    /// Any object may have been invalidated by what was missed. Where invalidations come from relays, none was missed.
+    fn bound_missed_invalidations(&mut self, missed: MissedEvents) {
+        warn!(self.log, "events of the discovery service missed, copies from before are not served"; "reason" => %missed);
+        self.metrics.count_missed_events();
+        if !self.fleet.subscribes() {
+            self.routing.queue(Event::InvalidationsMissed);
+        }
+    }
+
     /// The list has changed, or was told as a whole.
     fn update_endpoints(&mut self, complete: bool, records: Vec<EndpointRecord>, now: Micros) {
         info!(self.log, "endpoint list updated"; "complete" => complete, "endpoints" => records.len());
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -236,6 +236,11 @@
                 // Proxies have the endpoint list from the discovery service itself.
                 Notice::Update(Update::Endpoints { .. }) => {}
                 Notice::Event(event) => log_event(&self.log, &event),
+                Notice::Missed(missed) => {
+                    warn!(self.log, "events of the discovery service missed, copies from before are not served";
+                        "reason" => %missed);
+                    self.feed.bound_missed(now, &mut self.outputs);
+                }
             }
         }
         self.feed.set_lag(lag_since);
--- a/crates/proxy/src/relay/feed.rs
+++ b/crates/proxy/src/relay/feed.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Events of the discovery service are missing for good: copies from before now are not to be served.
+    pub(super) fn bound_missed(&mut self, now: Micros, outputs: &mut Vec<Output>) {
+        if let Feed::Publisher(publisher) = self {
+            publisher.bound_missed(now, outputs);
+        }
+    }
+
     /// Since when the discovery service may have held events back.
     pub(super) fn set_lag(&mut self, since: Option<Micros>) {
         if let Feed::Publisher(publisher) = self {
--- a/crates/proxy/src/report.rs
+++ b/crates/proxy/src/report.rs
@@ -57,6 +57,7 @@
     replication_lags: Family<Labels, Histogram>,
     purge_ages: Histogram,
     router_rejections: Counter,
+    missed_events: Counter,
 }
 
 impl Default for Metrics {
@@ -68,6 +69,7 @@
             replication_lags: Family::new_with_constructor(new_age),
             purge_ages: age_histogram(),
             router_rejections: Counter::default(),
+            missed_events: Counter::default(),
         }
     }
 }
@@ -97,6 +99,11 @@
         self.router_rejections.inc();
     }
 
+    /// Events of the discovery service were found to be missing for good.
+    pub(crate) fn count_missed_events(&self) {
+        self.missed_events.inc();
+    }
+
     /// In the text format that scrapers read.
     pub(crate) fn encode(&self, sources: &MetricSources<'_>, now: Micros) -> String {
         let peers = sources.peers;
@@ -115,6 +122,11 @@
             "Requests for which the router had no attempt to make, or none left",
             self.router_rejections.clone(),
         );
+        own.register(
+            "discovery_events_missed",
+            "Times that events of the discovery service were found to be missing for good",
+            self.missed_events.clone(),
+        );
         let mut registries = vec![registry, own];
         if let Some(peers) = peers {
             let mut registry = Registry::with_prefix("meadowrill_fleet");
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -286,3 +286,93 @@
     assert_eq!(journal.greeting().0, "tail 3\n");
     assert_eq!(Client::new(&program).lookup(1, "map").code(), 0);
 }
+
+/// The oldest copy that will do for a request that is sent now, in milliseconds; none where any will that the class allows.
+fn oldest_copy_ms(cache: &Cache, client: &mut Client, stream: u32) -> Option<u128> {
+    assert_eq!(client.lookup(stream, "map").code(), 0);
+    header(&cache.request().1, "Oldest-Ms").map(|ms| ms.parse().unwrap())
+}
+
+/// A lookup after `since` is not answered from a copy from before that moment, and the metric says why.
+fn copies_from_before_are_bounded(observed: &Observed, cache: &Cache, since: u128) {
+    let missed = "meadowrill_front_discovery_events_missed_total";
+    until(HANG, "missed events are counted", || {
+        observed.metric(missed) > 0.0
+    });
+    let mut client = Client::new(&observed.program);
+    let oldest = oldest_copy_ms(cache, &mut client, 1).expect("a bound on all copies");
+    assert!(oldest <= now_ms() - since, "{oldest} ms");
+    assert_eq!(observed.metric(missed), 1.0);
+}
+
+// Guards against copies served as fresh after an invalidation that never came: the event that stays missing is passed over.
+#[test]
+fn an_event_that_stays_missing_bounds_all_copies() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let observed = Observed::start(&config(&[("s-a", cache.address)], journal.address));
+    let mut client = Client::new(&observed.program);
+    assert_eq!(oldest_copy_ms(&cache, &mut client, 1), None);
+    let since = now_ms();
+    let behind = json!({"pos": 3, "expire": {"set": 99, "stamp": 1}});
+    // The second event cannot be read, however often it is asked for.
+    let mut kept = Vec::new();
+    for _ in 0..4 {
+        let (hello, mut service) = journal.greeting();
+        assert_eq!(hello, "tail 1\n");
+        service
+            .write_all(format!("{{bad\n{behind}\n3\n").as_bytes())
+            .unwrap();
+        kept.push(service);
+    }
+    copies_from_before_are_bounded(&observed, &cache, since);
+}
+
+// Guards against the same where only the last event is missing: the service's word of its position passes it over.
+#[test]
+fn a_last_event_that_stays_missing_bounds_all_copies() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let observed = Observed::start(&config(&[("s-a", cache.address)], journal.address));
+    let since = now_ms();
+    let mut kept = Vec::new();
+    for _ in 0..4 {
+        let (_, mut service) = journal.greeting();
+        service.write_all(b"{bad\n2\n").unwrap();
+        kept.push(service);
+    }
+    copies_from_before_are_bounded(&observed, &cache, since);
+}
+
+// Guards against invalidations lost where a service gives its numbers anew: they have numbers that were received before.
+#[test]
+fn numbers_that_begin_anew_bound_all_copies() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let observed = Observed::start(&config(&[("s-a", cache.address)], journal.address));
+    let purge = |pos: u64| json!({"pos": pos, "expire": {"set": 99, "stamp": 1}});
+    let (_, mut service) = journal.greeting();
+    service
+        .write_all(format!("{}\n{}\n3\n", purge(2), purge(3)).as_bytes())
+        .unwrap();
+    drop(service);
+    let since = now_ms();
+    let (hello, mut service) = journal.greeting();
+    assert_eq!(hello, "tail 3\n");
+    service.write_all(b"1\n2\n3\n").unwrap();
+    copies_from_before_are_bounded(&observed, &cache, since);
+}
+
+// Guards against the same by an entry of the configuration's own list that cannot be read.
+#[test]
+fn an_unreadable_entry_of_the_configuration_bounds_all_copies() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    let since = now_ms();
+    let entries = config["known"]["entries"].as_array_mut().unwrap();
+    entries.push(json!({"pos": 2, "expire": {"name": "no object"}}));
+    config["known"]["pos"] = json!(2);
+    let observed = Observed::start(&config);
+    copies_from_before_are_bounded(&observed, &cache, since);
+}
--- a/crates/routing/src/freshness.rs
+++ b/crates/routing/src/freshness.rs
@@ -1,7 +1,7 @@
 //! Freshness: the oldest copy that a request may be served.
 //!
-//! Rule 5: nothing older than a known invalidation. Where discovery lags, or invalidations had to be forgotten for want
-//! of capacity, any object may have been invalidated in between, and the bound covers all.
+//! Rule 5: nothing older than a known invalidation. Where discovery lags, or invalidations were missed or had to be
+//! forgotten for want of capacity, any object may have been invalidated in between, and the bound covers all.
 
 use crate::expiring_map::ExpiringMap;
 use crate::interface::{Micros, Request};
@@ -47,8 +47,9 @@
     any_invalidation: bool,
     discovery_lags_since: Option<Micros>,
     copy_bound: CopyBound,
-    /// The latest invalidation that was forgotten for want of capacity.
-    forgotten: ExpiringMap<(), Micros>,
+    /// Up to when invalidations may be unknown: the latest that was forgotten for want of capacity, or the moment at
+    /// which some were found to be missing.
+    unknown_until: ExpiringMap<(), Micros>,
 }
 
 impl Freshness {
@@ -60,7 +61,7 @@
             any_invalidation: false,
             discovery_lags_since: None,
             copy_bound: CopyBound::default(),
-            forgotten: ExpiringMap::new(lifetime, 1),
+            unknown_until: ExpiringMap::new(lifetime, 1),
         }
     }
 
@@ -69,15 +70,25 @@
         let key = (object, if object.is_some() { 0 } else { group });
         let known = self.invalidated_at.get(now, key).unwrap_or(Micros::MIN);
         let evicted = self.invalidated_at.insert(now, key, known.max(now - age));
-        if evicted.is_some() {
-            let forgotten = evicted.max(self.forgotten.get(now, ()));
-            if let Some(at) = forgotten {
-                self.forgotten.insert(now, (), at);
-            }
+        if let Some(at) = evicted {
+            self.bound_unknown(now, at);
         }
         self.any_invalidation = true;
     }
 
+    /// Invalidations are missing for good: any object may have been invalidated up to now.
+    pub(crate) fn bound_missed(&mut self, now: Micros) {
+        self.bound_unknown(now, now);
+        self.any_invalidation = true;
+    }
+
+    /// Any object may have been invalidated at this moment, while old copies may lie about.
+    fn bound_unknown(&mut self, now: Micros, at: Micros) {
+        let known = self.unknown_until.get(now, ());
+        self.unknown_until
+            .insert(now, (), known.unwrap_or(at).max(at));
+    }
+
     /// Since when discovery may be holding news back.
     pub(crate) fn set_discovery_lag(&mut self, since: Option<Micros>) {
         self.discovery_lags_since = since;
@@ -123,7 +134,7 @@
         let invalidation = self.invalidation(now, request);
         invalidation
             .max(self.copy_bound.binds_from())
-            .max(self.forgotten.get(now, ()))
+            .max(self.unknown_until.get(now, ()))
     }
 
     /// The latest invalidation of the object or its group, while old copies may lie about.
@@ -142,6 +153,6 @@
         let by_host = self.copy_bound.oldest_copy(now);
         possibly_missed
             .max(by_host)
-            .max(self.forgotten.get(now, ()))
+            .max(self.unknown_until.get(now, ()))
     }
 }
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -186,6 +186,8 @@
         /// Since when; none once all has been received.
         since: Option<Micros>,
     },
+    /// Invalidations may be missing for good: any object may have been invalidated up to now.
+    InvalidationsMissed,
     /// A bound on the copies that may be served, beside invalidations and freshness lifetimes.
     FreshnessBound {
         /// No copy issued before this moment.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -87,6 +87,7 @@
                 self.freshness.invalidate(now, object, group, age);
             }
             Event::DiscoveryLag { since } => self.freshness.set_discovery_lag(since),
+            Event::InvalidationsMissed => self.freshness.bound_missed(now),
             Event::FreshnessBound {
                 not_before,
                 max_age,
--- a/crates/test-servers/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod demo;
 pub mod journal;
 pub mod load;
+pub mod observed;
 pub mod peer;
 pub mod program;
 pub mod service;
@@ -22,6 +23,7 @@
 pub use cache::{header, ok, says, Cache, Does, Seen};
 pub use client::{ask, fields, frame, Client, Frame};
 pub use journal::{hosts, Journal};
+pub use observed::Observed;
 pub use peer::{Peer, Talk};
 pub use program::{config, member, Program, Site};
 
