--- a/crates/proxy/src/proxy/attempts.rs
+++ b/crates/proxy/src/proxy/attempts.rs
@@ -7,6 +7,7 @@
 use crate::net::endpoints::{AttemptRef, EndedAttempt, EndpointConnections};
 use crate::net::{AttemptError, Cause, Key, Progress};
 use meadowrill_routing::interface::{EndpointIndex, Fill, Micros};
+use slog::{debug, Level};
 use std::collections::BTreeSet;
 
 /// Connections to endpoints, and the attempts on them.
@@ -98,6 +99,34 @@
         request.attempts.push(handle);
         if let Some(handle) = handle {
             self.set_attempt_deadlines(handle, timeout, now);
+            self.log_written(id, handle);
+        }
+    }
+
+    /// Writes an attempt whose connection has come up.
+    pub(super) fn write_attempt(&mut self, id: u32, attempt: u8) {
+        let Some(handle) = self.requests.attempt(id, attempt) else {
+            return;
+        };
+        self.upstream
+            .connections
+            .write_attempt(handle.connection, handle.serial, &self.poll);
+        self.log_written(id, handle);
+    }
+
+    /// Tells when an attempt went out, unless it waits for its connection or has failed.
+    fn log_written(&self, id: u32, attempt: AttemptHandle) {
+        // One line for each attempt: nothing is worded for a log that does not show it.
+        if !self.config.log_level.shows(Level::Debug) {
+            return;
+        }
+        let connections = &self.upstream.connections;
+        if connections.is_unwritten(attempt.connection, attempt.serial) {
+            return;
+        }
+        if let Some(request) = self.requests.get(id) {
+            debug!(self.log, "attempt written"; "written_at_us" => self.clock.now(),
+                "request" => request.message.request_id.as_str());
         }
     }
 
--- a/crates/proxy/src/proxy/routing.rs
+++ b/crates/proxy/src/proxy/routing.rs
@@ -135,15 +135,7 @@
                     self.fail_attempt(attempt, Cause::Cancelled);
                 }
             }
-            Action::WriteAttempt { id, attempt } => {
-                if let Some(attempt) = self.requests.attempt(id, attempt) {
-                    self.upstream.connections.write_attempt(
-                        attempt.connection,
-                        attempt.serial,
-                        &self.poll,
-                    );
-                }
-            }
+            Action::WriteAttempt { id, attempt } => self.write_attempt(id, attempt),
             Action::SetTimer { at, timer } => self.timers.set(at, Timer::Router(timer)),
             // Discovery pushes its updates.
             Action::PollDiscovery => {}
