--- a/crates/proxy/src/net/discovery/codec.rs
+++ b/crates/proxy/src/net/discovery/codec.rs
@@ -15,6 +15,8 @@
 use std::net::SocketAddr;
 
 const MICROS_PER_MILLI: f64 = 1e3;
+/// Times on the wire are Unix milliseconds up to the end of the year 9999: sums with them cannot overflow.
+const MAX_TIME_MS: f64 = 253_402_300_799_999.0;
 
 /// An endpoint as it is listed.
 #[derive(Clone, Debug, PartialEq)]
@@ -121,7 +123,8 @@
     }
     let cell = value["cell"].as_u64().and_then(|c| u16::try_from(c).ok());
     let weight = value["size"].as_f64().filter(|weight| *weight > 0.0);
-    let started_ms = value["up_since_ms"].as_f64();
+    // One that cannot be is no reason to lose the whole list: it counts as long ago.
+    let started_at = parse_time(&value["up_since_ms"]).unwrap_or(0);
     Ok(EndpointRecord {
         id,
         address,
@@ -130,14 +133,20 @@
         cell: cell.unwrap_or(0),
         status,
         weight: weight.unwrap_or(1.0),
-        started_at: started_ms.map_or(0, |ms| (ms * MICROS_PER_MILLI) as Micros),
+        started_at,
     })
 }
 
+/// A time in Unix milliseconds; none where it is no number or out of range.
+fn parse_time(value: &Value) -> Option<Micros> {
+    let milliseconds = value.as_f64()?;
+    (0.0..=MAX_TIME_MS)
+        .contains(&milliseconds)
+        .then_some((milliseconds * MICROS_PER_MILLI) as Micros)
+}
+
 fn parse_invalidation(value: &Value) -> Result<Update, LineError> {
-    let issued_ms = value["stamp"]
-        .as_f64()
-        .ok_or(LineError::InvalidationWithoutTime)?;
+    let issued_at = parse_time(&value["stamp"]).ok_or(LineError::InvalidationWithoutTime)?;
     let object = match value["name"].as_str() {
         Some(name) => Some(
             u64::from_str_radix(name, 16)
@@ -152,6 +161,6 @@
     Ok(Update::Invalidation {
         object,
         group: group.unwrap_or(0),
-        issued_at: (issued_ms * MICROS_PER_MILLI) as Micros,
+        issued_at,
     })
 }
--- a/crates/proxy/src/net/discovery/tests.rs
+++ b/crates/proxy/src/net/discovery/tests.rs
@@ -95,3 +95,37 @@
     client.handle_line(read("2"), &mut notices).unwrap();
     assert_eq!(client.lag_since(), None);
 }
+
+// Guards against sums that overflow, and endpoints that never warm up, by times that cannot be.
+#[test]
+fn times_out_of_range_are_not_taken() {
+    let purge = |stamp: &str| {
+        read(&format!(
+            r#"{{"pos":1,"expire":{{"set":1,"stamp":{stamp}}}}}"#
+        ))
+    };
+    assert!(purge("0").is_ok() && purge("253402300799999").is_ok());
+    for stamp in [
+        "-1",
+        "-1e300",
+        "1e300",
+        "253402300800000",
+        "18446744073709551615",
+        "\"1\"",
+    ] {
+        assert!(purge(stamp).is_err(), "{stamp}");
+    }
+    let started_at = |up_since: &str| {
+        let line = read(&format!(
+            r#"{{"pos":1,"hosts":{{"members":[{{"id":"s","phase":"SERVING","host_port":"127.0.0.1:1","up_since_ms":{up_since}}}]}}}}"#
+        ));
+        match line.unwrap().update {
+            Some(Update::Endpoints { endpoints, .. }) => endpoints[0].started_at,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(started_at("1764576000123"), 1_764_576_000_123_000);
+    for up_since in ["0", "-1", "1e300", "18446744073709551615"] {
+        assert_eq!(started_at(up_since), 0, "{up_since}");
+    }
+}
