--- a/crates/replication/src/ledger/claim_set.rs
+++ b/crates/replication/src/ledger/claim_set.rs
@@ -5,8 +5,11 @@
 use crate::record::Key;
 use crate::record_type::RecordType;
 use crate::records::{self, Claim, ClaimState};
+use crate::wire_time;
 use crate::Micros;
 
+/// An attempt of a claim that was sent later than this from now was sent nobody knows when: its holder's clock is wrong.
+const MAX_CLOCK_SKEW: Micros = 500_000;
 /// A claim whose holder's client has stopped waiting is waited for no longer than this.
 const DEADLINE_GRACE: Micros = 100_000;
 
@@ -36,8 +39,13 @@
 
 impl KeyStatus {
     /// What one claim says; none if it says nothing.
-    fn of_claim(state: ClaimState, claim: Claim, abandoned: bool) -> Option<KeyStatus> {
-        let first_sent_at = claim.first_sent_at as Micros;
+    fn of_claim(
+        state: ClaimState,
+        claim: Claim,
+        abandoned: bool,
+        now: Micros,
+    ) -> Option<KeyStatus> {
+        let first_sent_at = first_sent_at(&claim, now);
         match state {
             ClaimState::NotRun => None,
             ClaimState::Completed => Some(KeyStatus::Completed {
@@ -85,7 +93,7 @@
     let mut status = KeyStatus::Unclaimed;
     for (_, state, claim) in claims_of_key(map, prefix, except) {
         let abandoned = is_abandoned(&claim, voters, now);
-        match KeyStatus::of_claim(state, claim, abandoned) {
+        match KeyStatus::of_claim(state, claim, abandoned, now) {
             Some(completed @ KeyStatus::Completed { .. }) => return completed,
             Some(next) => status = status.combine(next),
             None => {}
@@ -117,9 +125,19 @@
     &claim.name[..length.min(claim.name.len())]
 }
 
+/// When the first attempt for a claim's key may have been sent; long ago where the claim cannot tell, so that nobody relies
+/// on the origin's window.
+fn first_sent_at(claim: &Claim, now: Micros) -> Micros {
+    let sent_at = wire_time::from_wire(claim.first_sent_at);
+    if sent_at > now + MAX_CLOCK_SKEW {
+        return 0;
+    }
+    sent_at
+}
+
 /// Whether nobody will end a claim any more: its holder is gone or late.
 pub(super) fn is_abandoned(claim: &Claim, voters: &Voters, now: Micros) -> bool {
-    !voters.is_holder_alive(claim) || now > claim.deadline as Micros + DEADLINE_GRACE
+    !voters.is_holder_alive(claim) || now > wire_time::from_wire(claim.deadline) + DEADLINE_GRACE
 }
 
 impl Ledger {
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -2,7 +2,7 @@
 //! that may have run, observations, usage by tenant. A pure state machine: messages and events go in, messages and
 //! actions come out; it does no I/O, reads no clock and draws random numbers by a seed (docs/replication.md).
 //!
-//! From the bottom up: [`wire`] holds the messages; [`record_type`] and [`record`] are plain types; [`records`] encodes
+//! From the bottom up: [`wire`] holds the messages, and [`wire_time`] reads the times in them; [`record_type`] and [`record`] are plain types; [`records`] encodes
 //! the records of each type; [`map`] stores and merges records; [`snapshot`], [`shared_estimate`] and [`ledger`] work on
 //! a map; [`replica`] joins all of it into one proxy's replica.
 
@@ -16,6 +16,7 @@
 pub mod shared_estimate;
 pub mod snapshot;
 pub mod wire;
+pub mod wire_time;
 
 pub use meadowrill_membership::{mutant, Micros};
 
--- a/crates/replication/src/map.rs
+++ b/crates/replication/src/map.rs
@@ -14,7 +14,7 @@
 use crate::record::{record_hash, to_wire, Entry, Key};
 use crate::record_type::{RecordType, Tree};
 use crate::wire::Record;
-use crate::Micros;
+use crate::{Micros, SEC};
 use buckets::BucketIndex;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
@@ -24,6 +24,10 @@
 /// Longest value of a record.
 pub const MAX_VALUE_BYTES: usize = 4096;
 
+/// No record is stored for longer: twice the longest retention that the settings allow. One that says so was written by a
+/// proxy whose clock is wrong, or is corrupt, and would hold its place for ever.
+pub const MAX_RETENTION: Micros = 2 * 86_400 * SEC;
+
 /// The roots of the trees are folded by exclusive or and this rotation.
 const DIGEST_ROTATION: u32 = 21;
 
@@ -37,7 +41,7 @@
     },
     /// The same or a larger record is stored.
     AlreadyKnown,
-    /// It has expired, is too large, or there is no capacity for it.
+    /// It has expired or would be stored for too long, is too large, or there is no capacity for it.
     Rejected,
 }
 
@@ -170,6 +174,7 @@
     /// Merges a record: it is stored from now on if it is larger than what was stored for its key.
     pub fn merge(&mut self, key: Key, entry: Entry, now: Micros) -> MergeOutcome {
         if entry.expires_at <= now
+            || entry.expires_at > now + MAX_RETENTION
             || key.name.len() > MAX_NAME_BYTES
             || entry.value.len() > MAX_VALUE_BYTES
         {
--- a/crates/replication/src/record.rs
+++ b/crates/replication/src/record.rs
@@ -5,6 +5,7 @@
 
 use crate::record_type::RecordType;
 use crate::wire::Record;
+use crate::wire_time;
 use crate::Micros;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -52,7 +53,7 @@
         Entry {
             rank: (record.rank_high, record.rank_low),
             value: record.value.clone(),
-            expires_at: Micros::try_from(record.expires_at).unwrap_or(Micros::MAX),
+            expires_at: wire_time::from_wire(record.expires_at),
         }
     }
 }
--- a/crates/replication/src/records/endpoint.rs
+++ b/crates/replication/src/records/endpoint.rs
@@ -3,6 +3,7 @@
 
 use crate::record::{Entry, Key};
 use crate::record_type::RecordType;
+use crate::wire_time;
 use crate::Micros;
 use prost::Message;
 
@@ -72,7 +73,7 @@
 ) -> Option<(String, Micros, EndpointPhase, EndpointInfo)> {
     let id = String::from_utf8(key.name.clone()).ok()?;
     let endpoint = EndpointInfo::decode(entry.value.as_slice()).ok()?;
-    let started_at = entry.rank.0 as Micros;
+    let started_at = wire_time::from_wire(entry.rank.0);
     let phase = EndpointPhase::from_rank(entry.rank.1);
     Some((id, started_at, phase, endpoint))
 }
--- a/crates/replication/src/records/purge.rs
+++ b/crates/replication/src/records/purge.rs
@@ -2,6 +2,7 @@
 
 use crate::record::{Entry, Key};
 use crate::record_type::RecordType;
+use crate::wire_time;
 use crate::Micros;
 
 /// First byte of the name of an object's purge; the object follows.
@@ -31,7 +32,7 @@
 /// Decodes a purge: the object or the group, and the stamp.
 pub fn decode_purge(key: &Key, entry: &Entry) -> Option<(Option<u64>, u32, Micros)> {
     let (scope, name) = key.name.split_first()?;
-    let stamp = entry.rank.0 as Micros;
+    let stamp = wire_time::from_wire(entry.rank.0);
     match *scope {
         OBJECT => Some((Some(u64::from_be_bytes(name.try_into().ok()?)), 0, stamp)),
         GROUP => Some((None, u32::from_be_bytes(name.try_into().ok()?), stamp)),
--- a/crates/replication/src/replica/endpoints.rs
+++ b/crates/replication/src/replica/endpoints.rs
@@ -4,6 +4,7 @@
 use crate::record::Key;
 use crate::record_type::RecordType;
 use crate::records::{self, EndpointInfo, EndpointPhase};
+use crate::wire_time;
 use crate::Micros;
 use std::collections::BTreeMap;
 
@@ -46,7 +47,8 @@
     pub fn endpoint_phase(&self, id: &str) -> Option<(Micros, EndpointPhase)> {
         let entry = self.map.get(&Key::new(RecordType::Endpoint, id))?;
         let (started_at, phase) = entry.rank;
-        Some((started_at as Micros, EndpointPhase::from_rank(phase)))
+        let started_at = wire_time::from_wire(started_at);
+        Some((started_at, EndpointPhase::from_rank(phase)))
     }
 
     /// Start and phase of an endpoint by the discovery service alone.
--- a/crates/replication/src/replica/receive.rs
+++ b/crates/replication/src/replica/receive.rs
@@ -6,6 +6,7 @@
 use crate::record_type::RecordType;
 use crate::records::{self, ClaimState};
 use crate::wire::{self, Body, Delta, Packet, Record};
+use crate::wire_time;
 use crate::Micros;
 use meadowrill_membership::envelope::DropReason;
 use std::collections::BTreeSet;
@@ -148,8 +149,10 @@
 fn written_at(key: &Key, entry: &Entry) -> Option<(RecordType, Micros)> {
     let record_type = RecordType::from_wire(key.record_type)?;
     match record_type {
-        RecordType::Purge => Some((record_type, entry.rank.0 as Micros)),
-        RecordType::Observation | RecordType::Usage => Some((record_type, entry.rank.1 as Micros)),
+        RecordType::Purge => Some((record_type, wire_time::from_wire(entry.rank.0))),
+        RecordType::Observation | RecordType::Usage => {
+            Some((record_type, wire_time::from_wire(entry.rank.1)))
+        }
         RecordType::Endpoint | RecordType::Claim => None,
     }
 }
--- a/crates/replication/src/shared_estimate.rs
+++ b/crates/replication/src/shared_estimate.rs
@@ -4,6 +4,7 @@
 use crate::map::Map;
 use crate::record_type::RecordType;
 use crate::records::{self, Observation};
+use crate::wire_time;
 use crate::Micros;
 
 /// The age at which an observation's weight has halved.
@@ -64,7 +65,7 @@
 }
 
 fn age(observation: &Observation, now: Micros) -> Micros {
-    (now - observation.observed_at as Micros).max(0)
+    (now - wire_time::from_wire(observation.observed_at)).max(0)
 }
 
 fn weights(observations: &[Observation], zone: &str, now: Micros) -> Vec<f64> {
--- a/crates/replication/src/snapshot.rs
+++ b/crates/replication/src/snapshot.rs
@@ -5,6 +5,7 @@
 use crate::record::{to_wire, Entry, Key};
 use crate::record_type::RecordType;
 use crate::wire::Record;
+use crate::wire_time;
 use crate::Micros;
 use meadowrill_membership::envelope::{self, DropReason};
 use prost::Message;
@@ -172,7 +173,7 @@
     if !(0..).zip(parts).all(follows) {
         return Err(SnapshotError::Truncated);
     }
-    Ok(first.written_at as Micros)
+    Ok(wire_time::from_wire(first.written_at))
 }
 
 /// Observations of before a restart say little of now; all else holds until it expires.
--- a/crates/replication/tests/snapshot.rs
+++ b/crates/replication/tests/snapshot.rs
@@ -81,3 +81,15 @@
         SnapshotError::TooOld
     );
 }
+
+// Guards against an age that overflows where the time of a snapshot is beyond all that can be.
+#[test]
+fn a_snapshot_of_an_impossible_time_is_from_the_future() {
+    let map = Map::new(LIMITS);
+    // As an unsigned number this is half of the range.
+    for written_at in [Micros::MIN, Micros::MIN + 1, -1, Micros::MAX] {
+        let bytes = snapshot::write(&map, FLEET, written_at);
+        let restored = snapshot::read(&bytes, &mut Map::new(LIMITS), FLEET, SEC, NOW);
+        assert_eq!(restored, Err(SnapshotError::FromFuture));
+    }
+}
