--- a/crates/membership/src/view/name_conflict.rs
+++ b/crates/membership/src/view/name_conflict.rs
@@ -2,7 +2,7 @@
 //! knows that it is alive, and withdraws.
 //!
 //! Invariants: each other process is superseded at most once, and their number is bounded; a withdrawn proxy sends
-//! nothing more and never returns.
+//! nothing more and never returns; one that leaves supersedes nobody, as that would be a claim to be alive.
 
 use super::{Action, Change, View};
 use crate::claim::supersede_start;
@@ -19,7 +19,7 @@
         address: &str,
         actions: &mut Vec<Action>,
     ) {
-        if start < self.own.claim.start {
+        if start < self.own.claim.start || self.departure.is_some() {
             return;
         }
         if self.superseded_nonces.contains(&nonce)
--- a/crates/membership/src/view/refutation.rs
+++ b/crates/membership/src/view/refutation.rs
@@ -36,10 +36,10 @@
         true
     }
 
-    /// Takes a later start than one that was forgotten or that is of another process. A proxy that is leaving does not
-    /// supersede another process.
+    /// Takes a later start than one that was forgotten or that is of another process. A proxy that is leaving takes none:
+    /// it would be alive by that.
     fn advance_start(&mut self, received: ReceiverClaim, actions: &mut Vec<Action>) -> bool {
-        if !received.forgotten && self.departure.is_some() {
+        if self.departure.is_some() {
             return false;
         }
         let Some(claim) = supersede_start(self.own.claim, received.start) else {
--- a/crates/membership/tests/name_conflict.rs
+++ b/crates/membership/tests/name_conflict.rs
@@ -2,7 +2,9 @@
 
 use meadowrill_membership::settings::{FleetSettings, SECOND};
 use meadowrill_membership::view::{Action, Change, MemberIdentity, View};
-use meadowrill_membership::wire::{encode, Packet, Payload, Ping, ReceiverClaim, RootDigest};
+use meadowrill_membership::wire::{
+    decode, encode, Packet, Payload, Ping, ReceiverClaim, RootDigest,
+};
 use meadowrill_membership::Micros;
 
 const NAME: &str = "front-2";
@@ -113,3 +115,42 @@
     receive(&mut view, SECOND, &packet(NAME, u64::MAX, ping()));
     assert!(view.member("front-1").is_some());
 }
+
+/// Whether a packet that is sent claims another start than the first one.
+fn claims_another_start(actions: &[Action]) -> bool {
+    actions.iter().any(|action| match action {
+        Action::SendDatagram { bytes, .. } => {
+            let packet = decode(bytes, settings().fleet_id()).expect("a packet of its own");
+            packet.start != START
+        }
+        _ => false,
+    })
+}
+
+// Guards against a proxy that comes back to life while it leaves: peers would go on routing state and probes to it.
+#[test]
+fn a_proxy_that_leaves_supersedes_no_other_process_and_no_forgotten_start() {
+    let mut view = view();
+    receive(&mut view, SECOND, &packet("front-1", 7, ping()));
+    let mut actions = Vec::new();
+    view.leave(2 * SECOND, &mut actions);
+    let now = 2 * SECOND + 1000;
+    actions.extend(receive(&mut view, now, &packet(NAME, 60, ping())));
+    let forgotten = ReceiverClaim {
+        start: START,
+        incarnation: 0,
+        state: 3,
+        forgotten: true,
+    };
+    let told = Packet {
+        receiver_claim: Some(forgotten),
+        ..packet("front-1", 7, ping())
+    };
+    actions.extend(receive(&mut view, now + 1000, &told));
+    while view.next_timeout() < now + SECOND {
+        view.handle_timeout(view.next_timeout(), &mut actions);
+    }
+    assert!(!claims_another_start(&actions));
+    assert!(!actions.contains(&Action::Notify(Change::StartAdvanced { start: 60 })));
+    assert!(!actions.contains(&Action::Notify(Change::StartAdvanced { start: START })));
+}
