--- a/crates/membership/src/view/merge.rs
+++ b/crates/membership/src/view/merge.rs
@@ -77,7 +77,8 @@
         };
         match claim.state {
             MemberState::Suspected => {
-                if known.is_none() {
+                // Of a later process nothing is known either: what the former one published is not valid for it.
+                if known.is_none_or(|member| claim.start > member.claim.start) {
                     self.learn_or_drop(report, published, actions);
                 }
                 self.suspect(report, actions);
@@ -193,15 +194,21 @@
         Ok(())
     }
 
-    /// Another process has a member's name: what the former one published is not valid for it.
+    /// Another process has a member's name: what the former one published, or was accused of, is not valid for it. Its
+    /// address counts until another is known, so that it can be probed.
     fn reset_for_new_process(&mut self, name: &str, published: &PublishedBody) {
         self.toggle_digest(name);
         if let Some(member) = self.members.get_mut(name) {
             member.revision = 0;
+            member.suspicion = None;
             member.acknowledged_at = None;
             member.round_trip = None;
             member.encoded_body.clear();
+            let former_address = std::mem::take(&mut member.body.address);
             member.body = published.body.clone();
+            if member.body.address.is_empty() {
+                member.body.address = former_address;
+            }
         }
         self.toggle_digest(name);
     }
