--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -3,6 +3,14 @@
 use meadowrill_routing::interface::Micros;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+/// Microseconds in a second.
+pub(crate) const MICROS_PER_SECOND: Micros = 1_000_000;
+
+/// A span, or a time, in seconds: the unit of metrics and settings.
+pub(crate) fn seconds(micros: Micros) -> f64 {
+    micros as f64 / MICROS_PER_SECOND as f64
+}
+
 /// Unix time at the start, moved on by the monotonic clock: a step of the system's time must not shift deadlines.
 pub(crate) struct Clock {
     started_at: Micros,
--- a/crates/proxy/src/relay/progress.rs
+++ b/crates/proxy/src/relay/progress.rs
@@ -1,11 +1,10 @@
 //! How a publisher's events get into force everywhere: how far `done` has come, and how long each event took.
 
+use crate::clock::seconds;
 use meadowrill_event_distribution::event::LogPosition;
 use meadowrill_routing::interface::Micros;
 use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
 /// The state of a publisher's progress.
 pub(super) struct Progress {
     done: Option<LogPosition>,
@@ -42,7 +41,7 @@
     /// An event has been put in force everywhere.
     pub(super) fn record_in_force(&mut self, took: Micros) {
         self.in_force += 1;
-        self.durations.observe(took as f64 / MICROS_PER_SECOND);
+        self.durations.observe(seconds(took));
     }
 
     /// Takes note of how far `done` has come.
--- a/crates/proxy/src/relay/settings.rs
+++ b/crates/proxy/src/relay/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a relay, from the settings file.
 
+use crate::clock::MICROS_PER_SECOND;
 use crate::config::{read_settings, ConfigError};
 use meadowrill_event_distribution::settings::DistributionSettings;
 use meadowrill_membership::settings::FleetSettings as Fleet;
@@ -7,8 +8,6 @@
 use meadowrill_settings::{Relay, Settings};
 use std::path::{Path, PathBuf};
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
 pub(super) struct RelaySettings {
     path: PathBuf,
     /// All of the file.
@@ -47,7 +46,7 @@
     pub(super) fn report_every(&self) -> Option<Micros> {
         self.own
             .report_every
-            .map(|seconds| (seconds * MICROS_PER_SECOND) as Micros)
+            .map(|seconds| (seconds * MICROS_PER_SECOND as f64) as Micros)
     }
 
     /// The keys that are different in a later file.
--- a/crates/proxy/src/report/availability.rs
+++ b/crates/proxy/src/report/availability.rs
@@ -1,6 +1,7 @@
 //! What operators are told of this proxy's own service: whether it serves nobody, and since when.
 
 use super::collector::flag;
+use crate::clock::seconds;
 use crate::proxy::availability::Availability;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
@@ -8,8 +9,6 @@
 use prometheus_client::metrics::MetricType;
 use std::fmt;
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
 /// The outage as it was at one moment.
 #[derive(Debug)]
 pub(super) struct AvailabilityCollector {
@@ -21,7 +20,7 @@
     pub(super) fn new(availability: &Availability) -> AvailabilityCollector {
         let since = availability.outage_since();
         AvailabilityCollector {
-            outage_since: since.map(|since| since as f64 / MICROS_PER_SECOND),
+            outage_since: since.map(seconds),
         }
     }
 }
--- a/crates/proxy/src/report/distribution/metrics.rs
+++ b/crates/proxy/src/report/distribution/metrics.rs
@@ -1,21 +1,15 @@
 //! Metrics of the distribution of events. Their names and help texts stay as they are.
 
 use super::lag;
+pub(super) use crate::clock::seconds;
 use crate::report::collector::{flag, label, unlabelled, Metric};
 use meadowrill_event_distribution::counters::{Counters, RejectReason};
 use meadowrill_event_distribution::status::{DistributorStatus, SubscriberStatus};
-use meadowrill_routing::interface::Micros;
 
 /// The sides of a member, as labels tell them apart.
 pub(super) const SUBSCRIBERS: &str = "subscribers";
 pub(super) const UPSTREAM: &str = "upstream";
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
-pub(super) fn seconds(span: Micros) -> f64 {
-    span as f64 / MICROS_PER_SECOND
-}
-
 pub(super) fn gauge(name: &'static str, help: &'static str, value: f64) -> Metric<f64> {
     (name, help, unlabelled(value))
 }
--- a/crates/proxy/src/report/fleet.rs
+++ b/crates/proxy/src/report/fleet.rs
@@ -1,6 +1,7 @@
 //! What operators are told of the membership of the fleet: a table, the same as JSON, and metrics.
 
 use super::collector::{label, unlabelled, Metric, MetricSnapshot};
+use crate::clock::seconds;
 use crate::net::peers::Peers;
 use meadowrill_membership::claim::MemberState;
 use meadowrill_membership::view::{Member, View};
@@ -8,8 +9,6 @@
 use serde_json::json;
 use std::fmt::Write;
 
-const MICROS_PER_SECOND: f64 = 1e6;
-
 /// The state of a member, in the words of the operators' page: one known by name only is still joining.
 fn state(member: &Member) -> &'static str {
     match member.claim.state {
@@ -234,7 +233,7 @@
         (
             "settled_since_seconds",
             "Unix time at which the view last changed, 0 while it is not settled",
-            unlabelled(settled_since.map_or(0.0, |at| at as f64 / MICROS_PER_SECOND)),
+            unlabelled(settled_since.map_or(0.0, seconds)),
         ),
     ]
 }
--- a/crates/routing/src/planning.rs
+++ b/crates/routing/src/planning.rs
@@ -13,9 +13,7 @@
 use crate::request_class::RequestClass;
 use crate::retry::may_start_attempt;
 use crate::router::Router;
-
-/// Retention rank of what is uncacheable.
-const UNCACHED: u8 = 0;
+use crate::tail_retention::UNCACHED;
 
 /// Where an attempt goes, and from where a miss is filled.
 struct Route {
--- a/crates/routing/src/tail_retention.rs
+++ b/crates/routing/src/tail_retention.rs
@@ -23,7 +23,7 @@
 /// The retention rank of all that is cached.
 const CACHED: u8 = 1;
 /// The retention rank of what passes through.
-const UNCACHED: u8 = 0;
+pub(crate) const UNCACHED: u8 = 0;
 
 /// How a part is to be kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
