--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -48,6 +48,7 @@
 use self::request_table::RequestTable;
 use self::routing::RouterQueue;
 use self::shutdown::Shutdown;
+use self::snapshot::SnapshotSchedule;
 use self::timers::{Timer, Timers};
 use crate::clock::Clock;
 use crate::config::Config;
@@ -91,8 +92,7 @@
     metrics: Metrics,
     availability: Availability,
     shutdown: Shutdown,
-    /// When the snapshot of the shared state was written last, or the start.
-    snapshot_at: Micros,
+    snapshot: SnapshotSchedule,
 }
 
 impl Proxy {
@@ -135,7 +135,7 @@
             metrics: Metrics::default(),
             availability: Availability::default(),
             shutdown: Shutdown::default(),
-            snapshot_at: now,
+            snapshot: SnapshotSchedule::new(&config, now),
             poll,
             clock,
             log,
--- a/crates/proxy/src/proxy/snapshot.rs
+++ b/crates/proxy/src/proxy/snapshot.rs
@@ -1,8 +1,11 @@
 //! Snapshots of the shared state: read once before the first request, written every so often and at the end.
 //!
 //! A snapshot is written aside and moved into place, by a thread of its own: packing and the disk take their time.
+//! Invariant: file and interval are those of the start; a reload changes neither.
 
 use super::Proxy;
+use crate::clock::MICROS_PER_SECOND;
+use crate::config::Config;
 use meadowrill_replication::snapshot::Restored;
 use meadowrill_routing::interface::Micros;
 use slog::{info, warn};
@@ -11,16 +14,39 @@
 use std::path::{Path, PathBuf};
 use std::thread::{self, JoinHandle};
 
-/// Microseconds in a second, in which the settings give the interval.
-const MICROS_PER_SECOND: Micros = 1_000_000;
+/// Where and how often snapshots are written.
+pub(super) struct SnapshotSchedule {
+    /// None where the settings named no file at the start.
+    path: Option<PathBuf>,
+    interval: Micros,
+    /// When one was written last, or the start.
+    written_at: Micros,
+}
+
+impl SnapshotSchedule {
+    pub(super) fn new(config: &Config, now: Micros) -> SnapshotSchedule {
+        let replica = config.operator.replica.as_ref();
+        let path = replica.and_then(|replica| replica.snapshot.as_ref());
+        let interval_s = replica.map_or(0, |replica| replica.snapshot_every);
+        SnapshotSchedule {
+            path: path.map(PathBuf::from),
+            interval: interval_s as Micros * MICROS_PER_SECOND,
+            written_at: now,
+        }
+    }
+
+    fn is_due(&self, now: Micros) -> bool {
+        now >= self.written_at + self.interval
+    }
+}
 
 impl Proxy {
     /// Restores the shared state from its snapshot; what it holds counts as told.
     pub(super) fn restore_snapshot(&mut self, now: Micros) {
-        let Some(path) = self.snapshot_path() else {
+        let Some(path) = &self.snapshot.path else {
             return;
         };
-        let bytes = match std::fs::read(&path) {
+        let bytes = match std::fs::read(path) {
             Ok(bytes) => bytes,
             Err(e) if e.kind() == io::ErrorKind::NotFound => {
                 return info!(self.log, "no snapshot yet")
@@ -46,21 +72,13 @@
         }
     }
 
-    fn snapshot_path(&self) -> Option<PathBuf> {
-        let replica = self.config.operator.replica.as_ref()?;
-        replica.snapshot.as_ref().map(PathBuf::from)
-    }
-
     /// Starts to write a snapshot if one is due; in a shutdown it always is.
     pub(super) fn write_snapshot(&mut self, now: Micros) -> Option<JoinHandle<()>> {
-        let path = self.snapshot_path()?;
-        let settings = self.config.operator.replica.as_ref();
-        let interval_s = settings.map_or(0, |replica| replica.snapshot_every);
-        let due = now >= self.snapshot_at + interval_s as Micros * MICROS_PER_SECOND;
-        if !due && !self.shutdown.begun {
+        let path = self.snapshot.path.clone()?;
+        if !self.snapshot.is_due(now) && !self.shutdown.begun {
             return None;
         }
-        self.snapshot_at = now;
+        self.snapshot.written_at = now;
         let pack = self.fleet.replica()?.snapshot(now);
         let log = self.log.clone();
         Some(thread::spawn(move || {
--- a/crates/proxy/tests/shared_state.rs
+++ b/crates/proxy/tests/shared_state.rs
@@ -138,3 +138,26 @@
     client.write(&ask(2, "map", &[], b""));
     assert_eq!(client.answer().code(), 0);
 }
+
+// Guards against a snapshot that goes to another file than the log says: a changed path waits for the next start.
+#[test]
+fn a_changed_snapshot_path_waits_for_the_next_start() {
+    let folder = tempfile::tempdir().unwrap();
+    let (at, journal) = ([free(), free()], Journal::start());
+    let cache = Cache::start(ok(b"run"));
+    let config = config(&[("s-a", cache.address)], journal.address);
+    let with_snapshot = |file: &Path| {
+        let more = format!("snapshot: \"{}\" snapshot_every_s: 1", file.display());
+        settings(folder.path(), 0, at, &more)
+    };
+    let (first, changed) = (folder.path().join("first"), folder.path().join("changed"));
+    let program = Program::with_settings(&config, &with_snapshot(&first));
+    until(SOON, "the first snapshot", || first.exists());
+    program.renew(&with_snapshot(&changed));
+    // Written once more behind the reload, and to the same file.
+    for _ in 0..2 {
+        std::fs::remove_file(&first).unwrap();
+        until(SOON, "another snapshot", || first.exists());
+    }
+    assert!(!changed.exists());
+}
