--- a/crates/replication/src/records/claim.rs
+++ b/crates/replication/src/records/claim.rs
@@ -1,11 +1,11 @@
 //! Claims to effects. Rank: the state, which only advances. Each claim is written by its holder alone; `ledger` decides
 //! what the claims of one key say together.
 
+use super::bounded_name::bounded;
 use crate::record::{Entry, Key};
 use crate::record_type::RecordType;
 use crate::Micros;
 use prost::Message;
-use xxhash_rust::xxh3::xxh3_128;
 
 /// The state of one claim. A later state wins over an earlier one; the numbers are those of the wire format.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -79,20 +79,12 @@
 
 /// Longest part of a key that goes into a record's name as it is.
 pub const MAX_PLAIN_KEY_BYTES: usize = 80;
-/// Bytes of the hash that replaces the end of a longer key.
-const KEY_HASH_BYTES: usize = 16;
 
 /// The beginning of the names of all claims to a key: they are adjacent in the map, ordered by holder and number.
 pub fn claim_prefix(key: &[u8]) -> Vec<u8> {
     // The length in front keeps one key from being the prefix of another.
-    let mut name = vec![key.len().min(MAX_PLAIN_KEY_BYTES) as u8];
-    if key.len() <= MAX_PLAIN_KEY_BYTES {
-        name.extend(key);
-    } else {
-        name.extend(&key[..MAX_PLAIN_KEY_BYTES - KEY_HASH_BYTES]);
-        name.extend(xxh3_128(key).to_be_bytes());
-    }
-    name
+    let key = bounded(key, MAX_PLAIN_KEY_BYTES);
+    [&[key.len() as u8][..], &key].concat()
 }
 
 /// The record of a claim; `id` is its holder's hash and its number there.
--- a/crates/replication/src/records/observation.rs
+++ b/crates/replication/src/records/observation.rs
@@ -1,18 +1,17 @@
 //! Observations, and usage by tenant in the same form. Each record has one writer. Rank: the writer's incarnation, then
 //! the time of the observation, so that the later incarnation and its later observation win.
 
+use super::bounded_name::bounded;
 use super::MAX_PLAIN_KEY_BYTES;
 use crate::record::{Entry, Key};
 use crate::record_type::RecordType;
 use crate::Micros;
 use prost::Message;
 
-/// Bytes of a subject that go into the name.
+/// Longest part of a name that stands for a subject.
 const MAX_SUBJECT_BYTES: usize = MAX_PLAIN_KEY_BYTES;
-/// Bytes of the writer's name that go into the name.
+/// Longest part of a name that stands for the writer.
 const MAX_WRITER_BYTES: usize = 40;
-/// The largest length that one byte holds.
-const MAX_LENGTH: usize = 255;
 
 /// What one proxy observed of a subject. What the values mean depends on the type of subject.
 #[derive(Clone, PartialEq, Message)]
@@ -40,7 +39,7 @@
     expires_at: Micros,
 ) -> (Key, Entry) {
     let mut name = observation_prefix(subject);
-    name.extend(observation.writer.bytes().take(MAX_WRITER_BYTES));
+    name.extend(bounded(observation.writer.as_bytes(), MAX_WRITER_BYTES));
     let entry = Entry {
         rank: (incarnation, observation.observed_at),
         value: observation.encode_to_vec(),
@@ -51,12 +50,11 @@
 
 /// The beginning of the names of all observations of one subject: they are adjacent in the map.
 pub fn observation_prefix(subject: &[u8]) -> Vec<u8> {
-    let length = subject.len().min(MAX_LENGTH) as u8;
-    let plain = &subject[..subject.len().min(MAX_SUBJECT_BYTES)];
-    [&[length][..], plain].concat()
+    let subject = bounded(subject, MAX_SUBJECT_BYTES);
+    [&[subject.len() as u8][..], &subject].concat()
 }
 
-/// Decodes an observation: its subject, and what was observed.
+/// Decodes an observation: its subject, of one too long for a name the part that stands for it, and what was observed.
 pub fn decode_observation(key: &Key, entry: &Entry) -> Option<(Vec<u8>, Observation)> {
     let (length, name) = key.name.split_first()?;
     let subject = name.get(..usize::from(*length))?.to_vec();
