--- a/crates/event-distribution/src/event_log.rs
+++ b/crates/event-distribution/src/event_log.rs
@@ -207,8 +207,8 @@
         }
         let rest = &events[skip.min(events.len())..];
         let mut encoder = EventEncoder::default();
-        // They fitted with more before them; differences to the first timestamp may take a few bytes more than the limit
-        // of one datagram, so what does not fit waits for the next batch.
+        // All of them: they fitted with more before them, and the rest of a batch takes no more room than the whole, as the
+        // number of a sum is no longer than those of its parts together.
         let fitting = rest.iter().take_while(|event| encoder.push(event)).count();
         self.append(published_at, &rest[..fitting], encoder.finish())
     }
--- a/crates/event-distribution/tests/regressions/batches.rs
+++ b/crates/event-distribution/tests/regressions/batches.rs
@@ -2,7 +2,7 @@
 
 use crate::fixtures::*;
 use crate::simulation::START;
-use meadowrill_event_distribution::event::{Epoch, Event, LogPosition};
+use meadowrill_event_distribution::event::{Epoch, Event, LogPosition, Purge, PurgeKey};
 use meadowrill_event_distribution::event_log::{EventLog, NextInLog};
 use meadowrill_event_distribution::output::Output;
 use meadowrill_event_distribution::purge_set::PurgeSet;
@@ -106,3 +106,25 @@
         }
     );
 }
+
+// Guards against events that do not fit into the rest of a batch: they would be counted twice, here and when they come again.
+#[test]
+fn the_rest_of_a_batch_never_takes_more_room_than_the_whole() {
+    // Both sides of each length that a difference of timestamps may take, in milliseconds.
+    let steps = (0..47).map(|bit| 1i64 << bit);
+    let timestamps: Vec<i64> = [0]
+        .into_iter()
+        .chain(steps.flat_map(|step| [step - 1, step, -step, 1 - step]))
+        .collect();
+    let group = |milliseconds: i64| {
+        let (key, timestamp) = (PurgeKey::Group(0), milliseconds * MILLISECOND);
+        Event::Purge(Purge { key, timestamp })
+    };
+    for first in &timestamps {
+        for second in &timestamps {
+            let whole = encoded(&[group(*first), group(*second)]);
+            let rest = encoded(&[group(*second)]);
+            assert!(rest.len() <= whole.len(), "{first}, {second}");
+        }
+    }
+}
