--- a/crates/replication/src/map.rs
+++ b/crates/replication/src/map.rs
@@ -3,8 +3,8 @@
 //! as well as those that it does.
 //!
 //! Invariants: `by_expiry`, `buckets` and `sizes` describe exactly the records in `entries`; no type has more records
-//! than its limit; claims are never evicted. A new record is admitted only within the limit of bytes; one that replaces
-//! another may exceed it by the difference.
+//! than its limit; claims are never evicted. A record is admitted only within the limit of bytes, whether new or in place
+//! of another; but a claim that replaces a smaller form of itself may exceed it by the difference.
 
 mod buckets;
 
@@ -185,11 +185,12 @@
             return MergeOutcome::AlreadyKnown;
         }
         let replaced = former.is_some();
-        if !replaced && !self.evict_for(&key, &entry) {
+        self.remove(&key);
+        let is_claim = RecordType::from_wire(key.record_type) == Some(RecordType::Claim);
+        if !(replaced && is_claim) && !self.evict_for(&key, &entry) {
             self.displaced += 1;
             return MergeOutcome::Rejected;
         }
-        self.remove(&key);
         self.insert(key, entry);
         MergeOutcome::Merged { replaced }
     }
--- a/crates/replication/tests/map.rs
+++ b/crates/replication/tests/map.rs
@@ -48,3 +48,39 @@
     });
     assert_eq!(map.digest(), empty.digest());
 }
+
+// Guards against memory beyond the limit by records that grow: only new ones were checked against it.
+#[test]
+fn a_record_that_grows_stays_within_the_limit_of_bytes() {
+    const BYTES: usize = 1000;
+    let limits = MapLimits {
+        entries: 10,
+        bytes: BYTES,
+    };
+    let sized = |rank: u64, length: usize, expires_at: Micros| Entry {
+        rank: (rank, 0),
+        value: vec![1; length],
+        expires_at,
+    };
+    for record_type in [RecordType::Observation, RecordType::Endpoint] {
+        let mut map = Map::new(limits);
+        let stored = |map: &Map| map.sizes()[&(record_type as u32)].bytes;
+        let key = |number: u8| Key::new(record_type, [number]);
+        map.merge(key(1), sized(1, 400, SEC), 0);
+        map.merge(key(2), sized(1, 400, 2 * SEC), 0);
+        // The other one, which expires first, makes room.
+        map.merge(key(2), sized(2, 900, 2 * SEC), 0);
+        assert_eq!((stored(&map), map.get(&key(1))), (901, None));
+        // One that expires first of all goes itself, its former form with it.
+        map.merge(key(3), sized(1, 50, SEC), 0);
+        let outcome = map.merge(key(3), sized(2, 500, SEC), 0);
+        assert_eq!(outcome, MergeOutcome::Rejected);
+        assert_eq!((stored(&map), map.get(&key(3))), (901, None));
+    }
+    // A claim that has run holds its answer: that it ran must not be forgotten for want of room.
+    let mut map = Map::new(limits);
+    let key = Key::new(RecordType::Claim, [1]);
+    map.merge(key.clone(), sized(1, 900, SEC), 0);
+    map.merge(key.clone(), sized(2, 1100, SEC), 0);
+    assert_eq!(map.get(&key).map(|entry| entry.rank.0), Some(2));
+}
