--- a/crates/replication/src/map.rs
+++ b/crates/replication/src/map.rs
@@ -187,7 +187,9 @@
         let replaced = former.is_some();
         self.remove(&key);
         let is_claim = RecordType::from_wire(key.record_type) == Some(RecordType::Claim);
-        if !(replaced && is_claim) && !self.evict_for(&key, &entry) {
+        let may_exceed = replaced && is_claim;
+        let fits = may_exceed || self.evict_for(&key, &entry);
+        if !fits {
             self.displaced += 1;
             return MergeOutcome::Rejected;
         }
