--- a/crates/membership/tests/name_conflict.rs
+++ b/crates/membership/tests/name_conflict.rs
@@ -156,7 +156,7 @@
     assert!(!actions.contains(&Action::Notify(Change::StartAdvanced { start: START })));
 }
 
-/// A rumor of `front-2` by another proxy; its zone tells whose body it is.
+/// A rumor of `front-3` by another proxy; its zone tells whose body it is.
 fn rumor(start: u64, state: u32, revision: u64, zone: &str) -> Packet {
     let body = Body {
         address: "127.0.0.8:7000".into(),
