--- a/review/9/case.py
+++ b/review/9/case.py
@@ -7,7 +7,6 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
 from rig import *
-import socket
 
 GRACE, SLACK = 0.5, 0.05  # of the rule; each limit is 50 ms longer on sockets
 NOTICE = 4.5  # how late the list's changes reach the front that is not restarted
@@ -25,7 +24,7 @@
     site = await rig.site(cache, parents=2)
     journals = [await rig.journal(f"of-n{i}") for i in range(2)]
     terms = settings([request_class("video")], [False], [0.0], zone_fronts=2, fronts=2, drain_grace_s=GRACE, tell=True)
-    ports = [rig.free_address(socket.SOCK_DGRAM) for _ in range(2)]
+    ports = [rig.free_address() for _ in range(2)]
     fronts = []
     for i in range(2):
         own = ('turns { order: FIRST_COME }\nfleet {\n  listen: "%s:%d"\n  contact: "%s:%d"\n  contact: "%s:%d"\n'
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -443,12 +443,18 @@
         self.host = "127.%d.%d.%d" % (random.randint(70, 120), random.randint(1, 250), random.randint(1, 250))
         self.used = set()
 
-    def free_address(self, kind=None):
+    def free_address(self):
+        """A port that is free for TCP and for UDP: fronts that speak to each other take both."""
         import socket
         while True:
-            with socket.socket(socket.AF_INET, kind or socket.SOCK_STREAM) as probe:
-                probe.bind((self.host, 0))
-                address = probe.getsockname()
+            with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp, \
+                    socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+                tcp.bind((self.host, 0))
+                address = tcp.getsockname()
+                try:
+                    udp.bind(address)
+                except OSError:
+                    continue
             if address not in self.used:
                 self.used.add(address)
                 return address
