--- a/crates/proxy/src/net/discovery.rs
+++ b/crates/proxy/src/net/discovery.rs
@@ -5,8 +5,13 @@
 //! requests without success. The receiver of the events is notified of skipped events ([`Notice::Missed`]) before the
 //! events that follow them. Events that the service may have held back since its last line count as lag until a line
 //! reports that there are no more events. An outage is reported once, however often the connection is retried.
+//!
+//! A service may take longer to answer than any timeout here. A connection that has not delivered a line is therefore
+//! kept while others are opened beside it ([`MAX_CONNECTIONS`]); the first that delivers a line is used, and the others
+//! are closed.
 
 pub(super) mod codec;
+mod connection;
 mod error;
 mod missed_events;
 
@@ -15,9 +20,9 @@
 pub(crate) use self::missed_events::MissedEvents;
 
 use self::codec::{parse_line, Line};
+use self::connection::Connection;
 use self::error::LineError;
-use super::buffered_stream::BufferLimits;
-use super::{BufferedStream, Key, Poll};
+use super::{Key, Poll};
 use calloop::Readiness;
 use meadowrill_routing::interface::Micros;
 use serde_json::Value;
@@ -25,14 +30,8 @@
 
 /// The longest line: a list of some thousands of endpoints.
 const MAX_LINE_BYTES: usize = 1 << 20;
-const LIMITS: BufferLimits = BufferLimits {
-    inbound: MAX_LINE_BYTES,
-    outbound: 64,
-};
-/// A connection without a line for this long counts as lost: by then two lines are overdue.
-const SILENCE_TIMEOUT: Micros = 2_200_000;
-/// How long it may take to establish a connection.
-const CONNECT_TIMEOUT: Micros = 600_000;
+/// Maximum number of connections that wait for their first line.
+const MAX_CONNECTIONS: usize = 4;
 /// Minimum time between two connection attempts.
 const RECONNECT_INTERVAL: Micros = 250_000;
 /// How often a missing event is requested again before it is skipped.
@@ -65,16 +64,17 @@
 
 pub(crate) struct DiscoveryClient {
     address: SocketAddr,
-    connection: Option<(Key, BufferedStream)>,
+    /// The connections in the order in which they were opened: either one that delivers lines, or those that wait for
+    /// their first line.
+    connections: Vec<Connection>,
     /// Position of the last event that was delivered.
     last_position: u64,
     /// How often in a row the event after it was missing.
     repolls: u32,
     /// The lowest position below `last_position` that the service has reported, until it reaches `last_position` again.
     regressed_to: Option<u64>,
-    /// Whether the connection is established.
-    connected: bool,
-    received_at: Micros,
+    /// When the last line was received; before the first line, when the first connection was opened.
+    received_at: Option<Micros>,
     connect_started_at: Micros,
     /// Whether an outage was reported and has not ended.
     unreachable: bool,
@@ -87,12 +87,11 @@
     pub(crate) fn new(address: SocketAddr, last_position: u64) -> DiscoveryClient {
         DiscoveryClient {
             address,
-            connection: None,
+            connections: Vec::new(),
             last_position,
             repolls: 0,
             regressed_to: None,
-            connected: false,
-            received_at: 0,
+            received_at: None,
             connect_started_at: DISTANT_PAST,
             unreachable: false,
             lag_since: None,
@@ -132,45 +131,48 @@
         self.lag_since
     }
 
-    /// Connects if there is no connection, and drops a silent connection. Must be called regularly.
+    /// Drops connections that have fallen silent, and opens a connection if there is none or if the last one is overdue.
+    /// Must be called regularly.
     pub(crate) fn maintain(&mut self, now: Micros, poll: &mut Poll, notices: &mut Vec<Notice>) {
-        let timeout = if self.connected {
-            SILENCE_TIMEOUT
-        } else {
-            CONNECT_TIMEOUT
-        };
-        if self.connection.is_some() && now >= self.received_at + timeout {
-            self.disconnect(Loss::Silent, poll, notices);
+        while let Some(at) = self.connections.iter().position(|c| c.has_expired(now)) {
+            self.connections.remove(at).close(poll);
+            self.report_outage(Loss::Silent, notices);
+        }
+        let is_overdue = self.connections.last().map(|c| c.is_overdue(now));
+        if is_overdue == Some(true) {
+            self.report_outage(Loss::Silent, notices);
         }
-        if self.connection.is_none() && now >= self.connect_started_at + RECONNECT_INTERVAL {
+        if is_overdue != Some(false) && now >= self.connect_started_at + RECONNECT_INTERVAL {
             self.connect(now, poll, notices);
         }
     }
 
+    /// Opens a connection. If there are too many, it replaces the last one: the longer a connection has waited, the
+    /// sooner a slow service answers it.
     fn connect(&mut self, now: Micros, poll: &mut Poll, notices: &mut Vec<Notice>) {
         self.connect_started_at = now;
-        self.received_at = now;
-        self.connected = false;
-        let key = Key::Discovery(poll.next_number());
-        match poll.connect(self.address, key, LIMITS) {
-            Ok(mut stream) => {
-                let request = codec::poll_request(self.last_position);
-                let queued = stream.outbound.append(request.as_bytes());
-                debug_assert!(queued.is_ok());
-                self.connection = Some((key, stream));
-            }
-            Err(e) => self.disconnect(Loss::Io(e), poll, notices),
+        self.received_at.get_or_insert(now);
+        if self.connections.len() >= MAX_CONNECTIONS {
+            let last = self.connections.pop();
+            last.into_iter().for_each(|c| c.close(poll));
+        }
+        match Connection::open(self.address, self.last_position, now, poll) {
+            Ok(connection) => self.connections.push(connection),
+            Err(e) => self.report_outage(Loss::Io(e), notices),
         }
     }
 
-    /// Drops the connection, and reports the outage unless it was reported before.
+    /// Drops all connections, and reports the outage unless it was reported before.
     pub(crate) fn disconnect(&mut self, loss: Loss, poll: &Poll, notices: &mut Vec<Notice>) {
-        if let Some((_, stream)) = self.connection.take() {
-            stream.close(poll);
-        }
+        self.connections.drain(..).for_each(|c| c.close(poll));
+        self.report_outage(loss, notices);
+    }
+
+    /// Starts the lag, and reports the outage unless it was reported before.
+    fn report_outage(&mut self, loss: Loss, notices: &mut Vec<Notice>) {
         // The lag starts at the last line and not when the loss is noticed, because a silent service may have held back
         // all events since its last line.
-        self.lag_since = self.lag_since.or(Some(self.received_at));
+        self.lag_since = self.lag_since.or(self.received_at);
         if !std::mem::replace(&mut self.unreachable, true) {
             notices.push(Notice::Event(ConnectionEvent::Lost(loss)));
         }
@@ -185,48 +187,52 @@
         poll: &mut Poll,
         notices: &mut Vec<Notice>,
     ) {
-        let Some((_, mut stream)) = self.connection.take_if(|(k, _)| *k == key) else {
+        let Some(at) = self.connections.iter().position(|c| c.key == key) else {
             return;
         };
-        stream.set_ready(ready);
-        let received = self.receive(&mut stream, now, notices);
-        self.connection = Some((key, stream));
+        let mut connection = self.connections.remove(at);
+        connection.stream.set_ready(ready);
+        let received = self.receive(&mut connection, now, notices);
+        let delivers = connection.delivers;
+        if delivers {
+            self.connections.drain(..).for_each(|c| c.close(poll));
+        }
         match received {
             Err(loss) => {
-                self.disconnect(loss, poll, notices);
+                connection.close(poll);
+                self.report_outage(loss, notices);
                 self.maintain(now, poll, notices);
             }
-            Ok(()) if self.unreachable && self.received_at > self.connect_started_at => {
-                self.unreachable = false;
-                notices.push(Notice::Event(ConnectionEvent::Restored));
+            Ok(()) => {
+                let at = at.min(self.connections.len());
+                self.connections.insert(at, connection);
+                if delivers && std::mem::replace(&mut self.unreachable, false) {
+                    notices.push(Notice::Event(ConnectionEvent::Restored));
+                }
             }
-            Ok(()) => {}
         }
     }
 
     fn receive(
         &mut self,
-        stream: &mut BufferedStream,
+        connection: &mut Connection,
         now: Micros,
         notices: &mut Vec<Notice>,
     ) -> Result<(), Loss> {
-        if !stream.is_connected()? {
+        if !connection.establish(now)? {
             return Ok(());
         }
-        if !std::mem::replace(&mut self.connected, true) {
-            self.received_at = now;
-        }
-        stream.flush()?;
+        connection.stream.flush()?;
         loop {
-            let ended = stream.fill()?;
-            self.handle_lines(stream, now, notices)?;
+            let ended = connection.stream.fill()?;
+            self.handle_lines(connection, now, notices)?;
             if ended {
                 return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into());
             }
-            if stream.inbound.remaining() == 0 {
+            if connection.stream.inbound.remaining() == 0 {
                 return Err(Loss::LineTooLong);
             }
-            if !stream.readable {
+            if !connection.stream.readable {
                 return Ok(());
             }
         }
@@ -234,10 +240,11 @@
 
     fn handle_lines(
         &mut self,
-        stream: &mut BufferedStream,
+        connection: &mut Connection,
         now: Micros,
         notices: &mut Vec<Notice>,
     ) -> Result<(), Loss> {
+        let stream = &mut connection.stream;
         while let Some(end) = stream.inbound.bytes().iter().position(|b| *b == b'\n') {
             let text = &stream.inbound.bytes()[..end];
             let line = (!text.trim_ascii().is_empty()).then(|| parse_line(text));
@@ -245,7 +252,9 @@
             if let Some(line) = line {
                 self.handle_line(line, notices)?;
             }
-            self.received_at = now;
+            self.received_at = Some(now);
+            connection.delivers = true;
+            connection.progress_at = now;
         }
         Ok(())
     }
@@ -305,7 +314,7 @@
                 renumbered.map(|from| Notice::Missed(MissedEvents::Renumbered { from, until })),
             );
         } else if !is_event {
-            self.lag_since = self.lag_since.or(Some(self.received_at));
+            self.lag_since = self.lag_since.or(self.received_at);
             let lowest = self.regressed_to.unwrap_or(position).min(position);
             self.regressed_to = Some(lowest);
         }
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -218,6 +218,30 @@
     assert_eq!(journal.accept_subscriber().0, "tail 1\n");
 }
 
+// Guards against a slow discovery service that is never heard, because each connection is given up before its answer.
+#[test]
+fn a_discovery_service_that_answers_late_is_heard() {
+    let cache = Cache::start(ok(b"fine"));
+    let service = ScriptedPeer::listen();
+    let program = Program::start(&config(&[("s-a", cache.address)], service.address));
+    // The service answers nothing while the proxy opens connections beside the first. Their number is bounded: the
+    // fifth replaces the fourth.
+    let mut connections: Vec<PeerConnection> = (0..5).map(|_| service.accept()).collect();
+    for connection in &mut connections {
+        assert_eq!(connection.read_line(), "tail 1\n");
+    }
+    assert_eq!(connections.remove(3).read_line(), "");
+    let mut first = connections.remove(0);
+    let members = json!([member("s-a", "std", cache.address, "DRAINING")]);
+    first.write(&hosts_event(2, &members));
+    // Once one connection delivers events, the others are closed.
+    for connection in &mut connections {
+        assert_eq!(connection.read_line(), "");
+    }
+    let mut client = Client::new(&program);
+    assert_eq!(client.lookup(1, "order").code(), 11);
+}
+
 #[test]
 fn endpoint_list_changes_take_effect_and_an_address_may_pass_to_another_endpoint() {
     let (first, second) = (Cache::start(ok(b"first")), Cache::start(ok(b"second")));
