--- a/crates/proxy/src/buffer.rs
+++ b/crates/proxy/src/buffer.rs
@@ -22,10 +22,12 @@
     MAX_SPARE_ALLOCATIONS * (limit + MIN_MEMORY)
 }
 
-/// The memory of all buffers of this process: their total size, and spare allocations for reuse.
+/// The memory of all buffers of this process: their total size, the size of a group of them, and spare allocations for
+/// reuse.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct BufferMemory {
     bytes: Rc<Cell<usize>>,
+    group_bytes: Rc<Cell<usize>>,
     /// Spare allocations of the minimum size, and large ones.
     spare: Rc<RefCell<[VecDeque<Vec<u8>>; 2]>>,
 }
@@ -36,6 +38,26 @@
         self.bytes.get()
     }
 
+    /// The same memory, for a new group of buffers.
+    pub(crate) fn new_group(&self) -> BufferMemory {
+        BufferMemory {
+            group_bytes: Rc::default(),
+            ..self.clone()
+        }
+    }
+
+    /// The memory that the buffers of this group hold now, in bytes.
+    pub(crate) fn group_bytes(&self) -> usize {
+        self.group_bytes.get()
+    }
+
+    /// Accounts for a buffer whose memory changes from `old` to `new` bytes.
+    fn resize(&self, old: usize, new: usize) {
+        for bytes in [&self.bytes, &self.group_bytes] {
+            bytes.set(bytes.get() + new - old);
+        }
+    }
+
     /// Initialized memory of `size` bytes, or a spare allocation of at least `size` and at most `limit` bytes.
     fn allocate(&self, size: usize, limit: usize) -> Vec<u8> {
         let spare = &mut self.spare.borrow_mut()[usize::from(size >= LARGE_MEMORY)];
@@ -92,6 +114,16 @@
         self.limit - self.len()
     }
 
+    /// Bytes that may be appended without more memory than an idle buffer retains, or than this one has already.
+    pub(crate) fn remaining_without_growth(&self) -> usize {
+        self.memory.len().max(MIN_MEMORY).min(self.limit) - self.len()
+    }
+
+    /// Whether it has more memory than an idle buffer retains.
+    pub(crate) fn has_grown(&self) -> bool {
+        self.memory.len() > MIN_MEMORY
+    }
+
     /// The content as one contiguous slice.
     pub(crate) fn bytes(&self) -> &[u8] {
         &self.memory[self.start..self.end]
@@ -124,8 +156,7 @@
             self.accounting.allocate(size, self.limit)
         };
         memory[..self.len()].copy_from_slice(&self.memory[self.start..self.end]);
-        let total = self.accounting.bytes.get() + memory.len() - self.memory.len();
-        self.accounting.bytes.set(total);
+        self.accounting.resize(self.memory.len(), memory.len());
         self.accounting
             .release(std::mem::replace(&mut self.memory, memory));
     }
@@ -180,8 +211,7 @@
 
 impl Drop for BoundedBuffer {
     fn drop(&mut self) {
-        let total = self.accounting.bytes.get() - self.memory.len();
-        self.accounting.bytes.set(total);
+        self.accounting.resize(self.memory.len(), 0);
         self.accounting.release(std::mem::take(&mut self.memory));
     }
 }
--- a/crates/proxy/src/net/buffered_stream.rs
+++ b/crates/proxy/src/net/buffered_stream.rs
@@ -39,13 +39,13 @@
     pub(super) fn new(
         stream: TcpStream,
         limits: BufferLimits,
-        memory: &BufferMemory,
+        (inbound_memory, memory): (&BufferMemory, &BufferMemory),
         syscalls: Rc<SyscallCounters>,
     ) -> BufferedStream {
         BufferedStream {
             stream,
             syscalls,
-            inbound: BoundedBuffer::new(limits.inbound, memory),
+            inbound: BoundedBuffer::new(limits.inbound, inbound_memory),
             outbound: BoundedBuffer::new(limits.outbound, memory),
             readable: false,
             writable: false,
@@ -72,6 +72,16 @@
         Ok(false)
     }
 
+    /// Reads available input as far as the buffer needs no more memory. Returns true once the peer has closed its side.
+    pub(crate) fn fill_without_growth(&mut self) -> io::Result<bool> {
+        while self.readable && self.inbound.remaining_without_growth() > 0 {
+            if self.fill_once()? {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+
     /// Reads once into the buffer. Returns true once the peer has closed its side.
     pub(crate) fn fill_once(&mut self) -> io::Result<bool> {
         let read = self.read()?;
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -5,6 +5,7 @@
 //! | `connection` | the state of one connection and the frames that are queued on it |
 //! | `receiving` | received frames: requests, cancellations, readiness queries, faulty frames |
 //! | `closing` | closing of connections, also of idle, slow and surplus ones |
+//! | `input_memory` | the memory for the input of all clients: who waits for it, and whose input is discarded |
 //! | `event` | events for the event loop, and reuse of request allocations |
 //!
 //! Invariants: a stream has at most one open request and gets one response; a connection that discards input handles no
@@ -13,14 +14,16 @@
 mod closing;
 mod connection;
 mod event;
+mod input_memory;
 mod receiving;
 
 pub(crate) use self::closing::DRAIN_TIMEOUT;
 pub(crate) use self::event::ClientEvent;
+pub(crate) use self::input_memory::InputMemory;
 
 use self::connection::ClientConnection;
 use self::event::RequestPool;
-use self::receiving::{FrameReceiver, Readiness};
+use self::receiving::{FrameReceiver, Readiness, Received};
 use super::buffered_stream::BufferLimits;
 use super::syscalls::increment;
 use super::{Key, Poll};
@@ -46,6 +49,7 @@
     connections: BTreeMap<u64, ClientConnection>,
     /// Connections with more input than one round handles.
     unread: BTreeSet<u64>,
+    input_memory: InputMemory,
     /// Draining connections, ordered by the time at which draining ends.
     draining: BTreeSet<(Micros, u64)>,
     /// Maximum number of connections that are served.
@@ -76,10 +80,12 @@
         max_connections: usize,
         max_draining: usize,
         stall_timeout: Micros,
+        input_memory: InputMemory,
     ) -> Clients {
         Clients {
             connections: BTreeMap::new(),
             unread: BTreeSet::new(),
+            input_memory,
             draining: BTreeSet::new(),
             max_connections,
             max_draining,
@@ -120,11 +126,13 @@
 
     /// Takes the connections that must be read again even if the poll reports no new input.
     pub(crate) fn take_unread(&mut self) -> BTreeSet<u64> {
-        std::mem::take(&mut self.unread)
+        let mut unread = std::mem::take(&mut self.unread);
+        unread.append(&mut self.input_memory.take_resumable());
+        unread
     }
 
     pub(crate) fn has_unread(&self) -> bool {
-        !self.unread.is_empty()
+        !self.unread.is_empty() || self.input_memory.has_resumable()
     }
 
     pub(crate) fn is_empty(&self) -> bool {
@@ -161,6 +169,7 @@
         let mut receiver = FrameReceiver {
             number,
             now,
+            may_grow: self.input_memory.has_room(),
             readiness: Readiness {
                 ready: self.ready && self.available,
                 caught_up: self.caught_up,
@@ -171,10 +180,13 @@
             events: &mut self.events,
         };
         let received = receiver.receive(client);
-        if matches!(received, Ok(true)) {
-            self.unread.insert(number);
+        match received {
+            Ok(Received::MoreInput) => drop(self.unread.insert(number)),
+            Ok(Received::NeedsMemory) => self.input_memory.wait(number),
+            Ok(Received::All) | Err(_) => {}
         }
         self.finish_step(number, received.map(|_| ()), now, poll);
+        self.reclaim_input_memory(now, poll);
     }
 
     /// Sends the response to a request, unless the request is no longer open or its connection is closed.
--- a/crates/proxy/src/net/clients/closing.rs
+++ b/crates/proxy/src/net/clients/closing.rs
@@ -6,7 +6,6 @@
 
 use super::connection::EvictionOrder;
 use super::{ClientEvent, Clients};
-use crate::frame::FrameError;
 use crate::net::Poll;
 use calloop::Readiness;
 use meadowrill_routing::interface::Micros;
@@ -141,6 +140,7 @@
         for number in numbers {
             self.close_if_stale(number, now, poll);
         }
+        self.reclaim_input_memory(now, poll);
     }
 
     fn close_if_stale(&mut self, number: u64, now: Micros, poll: &mut Poll) {
@@ -164,13 +164,7 @@
             .incomplete_since
             .is_some_and(|since| has_passed(since, INCOMPLETE_TIMEOUT))
         {
-            let error = FrameError::Incomplete;
-            self.events.push(ClientEvent::BadFrame {
-                client: number,
-                error,
-            });
-            let result = client.stop_reading();
-            self.finish_step(number, result, now, poll);
+            self.stop_incomplete(number, now, poll);
         } else if client.is_idle() && has_passed(client.used_at, IDLE_TIMEOUT) {
             self.close_idle(number, now, poll);
         }
--- a/crates/proxy/src/net/clients/connection.rs
+++ b/crates/proxy/src/net/clients/connection.rs
@@ -45,6 +45,8 @@
     pub(super) has_sent_frame: bool,
     /// Since when a frame, or the first frame, has been incomplete.
     pub(super) incomplete_since: Option<Micros>,
+    /// When bytes were last read into the buffer.
+    pub(super) received_at: Micros,
     /// When the last frame was read or the last response sent.
     pub(super) used_at: Micros,
     faults: u32,
@@ -65,6 +67,7 @@
             draining_until: None,
             has_sent_frame: false,
             incomplete_since: Some(now),
+            received_at: now,
             used_at: now,
             faults: 0,
             stalled: None,
@@ -128,6 +131,15 @@
         self.open_requests.is_empty() && self.stream.outbound.is_empty()
     }
 
+    /// Since when its incomplete frame has made no progress, if that frame holds more memory than an idle connection and
+    /// its next bytes are unlikely to be in transit.
+    pub(super) fn stalled_frame_since(&self, now: Micros) -> Option<Micros> {
+        let holds_frame = self.incomplete_since.is_some() && self.stream.inbound.has_grown();
+        let since = self.received_at;
+        let stalled = holds_frame && !self.stream.readable && since + MIN_EVICTION_AGE <= now;
+        stalled.then_some(since)
+    }
+
     /// The place of this connection in the eviction order. None if it must not be closed, because it has an open
     /// request or unwritten output, is draining already, or was used too recently.
     pub(super) fn eviction_order(&self, now: Micros) -> Option<EvictionOrder> {
--- a/crates/proxy/src/net/clients/receiving.rs
+++ b/crates/proxy/src/net/clients/receiving.rs
@@ -19,6 +19,17 @@
     pub(super) caught_up: Option<bool>,
 }
 
+/// What remains to be read of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Received {
+    /// Nothing that has arrived.
+    All,
+    /// More input than one round handles.
+    MoreInput,
+    /// More input than the buffer may hold until the buffers of the clients have room again.
+    NeedsMemory,
+}
+
 /// A parsed frame that has not been handled yet.
 enum ParsedFrame {
     /// A request on a connection that rejects new requests.
@@ -48,6 +59,8 @@
     /// Number of the connection.
     pub(super) number: u64,
     pub(super) now: Micros,
+    /// Whether the input buffer may use more memory.
+    pub(super) may_grow: bool,
     pub(super) readiness: Readiness,
     pub(super) identity: &'a IdentityFields,
     pub(super) last_request_id: &'a mut u32,
@@ -56,34 +69,30 @@
 }
 
 impl FrameReceiver<'_> {
-    /// Reads available input and handles at most [`MAX_FRAMES_PER_ROUND`] frames. Returns true if there is more input.
-    pub(super) fn receive(&mut self, client: &mut ClientConnection) -> io::Result<bool> {
+    /// Reads available input and handles at most [`MAX_FRAMES_PER_ROUND`] frames.
+    pub(super) fn receive(&mut self, client: &mut ClientConnection) -> io::Result<Received> {
         // After the end of the peer's stream a read does not report a reset.
         if client.half_closed && !client.stream.is_connected()? {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
-        let ended = if client.discards_input {
-            client.stream.discard()?
-        } else {
-            client.stream.fill()?
-        };
+        let ended = self.read(client)?;
         if ended && !client.half_closed {
             self.half_close(client)?;
         }
         if client.discards_input {
-            return Ok(client.stream.readable && !client.half_closed);
+            return Ok(self.remaining_input(client));
         }
         for _ in 0..MAX_FRAMES_PER_ROUND {
             match self.parse_next(client) {
                 Ok(Some((parsed, length))) => {
                     self.handle_frame(client, parsed, length)?;
                     if client.discards_input {
-                        return Ok(client.stream.readable);
+                        return Ok(self.remaining_input(client));
                     }
                 }
                 Ok(None) => {
                     self.update_incomplete(client);
-                    return Ok(client.stream.readable && !client.half_closed);
+                    return Ok(self.remaining_input(client));
                 }
                 Err(error) => {
                     let client_number = self.number;
@@ -92,11 +101,43 @@
                         error,
                     });
                     client.stop_reading()?;
-                    return Ok(client.stream.readable);
+                    return Ok(self.remaining_input(client));
                 }
             }
         }
-        Ok(true)
+        Ok(Received::MoreInput)
+    }
+
+    /// Reads available input, and returns true once the peer has closed its side.
+    fn read(&self, client: &mut ClientConnection) -> io::Result<bool> {
+        if client.discards_input {
+            return client.stream.discard();
+        }
+        let before = client.stream.inbound.len();
+        let ended = if self.may_grow {
+            client.stream.fill()?
+        } else {
+            client.stream.fill_without_growth()?
+        };
+        if client.stream.inbound.len() > before {
+            client.received_at = self.now;
+        }
+        Ok(ended)
+    }
+
+    /// What remains to be read once all complete frames in the buffer are handled.
+    fn remaining_input(&self, client: &ClientConnection) -> Received {
+        let stream = &client.stream;
+        if !stream.readable || client.half_closed {
+            Received::All
+        } else if client.discards_input
+            || self.may_grow
+            || stream.inbound.remaining_without_growth() > 0
+        {
+            Received::MoreInput
+        } else {
+            Received::NeedsMemory
+        }
     }
 
     /// Handles the end of the peer's stream. A peer that has closed its socket reads nothing more, and a peer that has
--- a/crates/proxy/src/net/poll.rs
+++ b/crates/proxy/src/net/poll.rs
@@ -100,6 +100,8 @@
 pub(crate) struct Poll {
     calloop: LoopHandle<'static, ReadyEvents>,
     pub buffer_memory: BufferMemory,
+    /// The part of `buffer_memory` that holds the input of clients.
+    pub client_input_memory: BufferMemory,
     pub syscalls: Rc<SyscallCounters>,
     last_number: u64,
     epoll: OwnedFd,
@@ -115,9 +117,11 @@
             epoll::EventData::new_u64(CALLOOP_ENTRY),
             epoll::EventFlags::IN,
         )?;
+        let buffer_memory = BufferMemory::default();
         Ok(Poll {
             calloop: events.handle(),
-            buffer_memory: BufferMemory::default(),
+            client_input_memory: buffer_memory.new_group(),
+            buffer_memory,
             syscalls: Rc::default(),
             last_number: 0,
             epoll,
@@ -250,10 +254,14 @@
         let flags = epoll::EventFlags::IN | epoll::EventFlags::OUT | epoll::EventFlags::RDHUP;
         let entry = epoll::EventData::new_u64(key.to_entry());
         epoll::add(&self.epoll, &stream, entry, flags | epoll::EventFlags::ET)?;
+        let inbound_memory = match key {
+            Key::Client(_) => &self.client_input_memory,
+            _ => &self.buffer_memory,
+        };
         Ok(BufferedStream::new(
             stream,
             limits,
-            &self.buffer_memory,
+            (inbound_memory, &self.buffer_memory),
             Rc::clone(&self.syscalls),
         ))
     }
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -52,7 +52,7 @@
 use self::timers::{Timer, Timers};
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::net::clients::Clients;
+use crate::net::clients::{Clients, InputMemory};
 use crate::net::discovery::DiscoveryClient;
 use crate::net::endpoints::EndpointConnections;
 use crate::net::operators::Operators;
@@ -167,6 +167,7 @@
             config.max_client_connections,
             config.max_draining_connections,
             config.longest_deadline,
+            InputMemory::new(poll.client_input_memory.clone(), config.max_buffer_bytes),
         ),
         listener: Some((listener, token)),
         accept_pending: true,
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -102,6 +102,37 @@
     assert_eq!(other.read_response().code(), 0);
 }
 
+// Guards against unfinished requests that use up the memory of the buffers, so that the requests of others are rejected.
+#[test]
+fn unfinished_requests_block_no_other_client() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["memory_mb"] = json!(32);
+    let mut program = Program::start(&config);
+    let mut other = Client::new(&program);
+    let body = [9; 48_000];
+    let unfinished = request_frame(1, "map", &[], &body);
+    let unfinished = &unfinished[..unfinished.len() - 1000];
+    let mut streams = 1..;
+    // New clients replace those that were cut off. A client may be cut off while it writes.
+    for _ in 0..3 {
+        let mut clients: Vec<Client> = (0..300).map(|_| Client::new(&program)).collect();
+        for client in &mut clients {
+            let _ = client.0.write_all(unfinished);
+            let stream = streams.next().expect("a stream");
+            assert_eq!(other.lookup(stream, "map").code(), 0);
+        }
+        // A complete request with a large body also gets its response.
+        let stream = streams.next().expect("a stream");
+        other.write(&request_frame(stream, "order", &[], &body));
+        assert_eq!(other.read_response().code(), 0);
+    }
+    let peak = program.peak_memory_kb();
+    assert!(peak < 32_000, "{peak} kB");
+    assert!(program.is_running());
+}
+
 /// Whether buffers use all the memory that they may, except the part that is left for reservations (a sixteenth).
 fn has_full_buffers(observed: &ObservedProxy) -> bool {
     let limit = observed.metric("meadowrill_front_buffer_limit_bytes");
