--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -182,6 +182,7 @@
         let received = receiver.receive(client);
         match received {
             Ok(Received::MoreInput) => drop(self.unread.insert(number)),
+            Ok(Received::NeedsOutput) => client.awaits_output = true,
             Ok(Received::NeedsMemory) => self.input_memory.wait(number),
             Ok(Received::All) | Err(_) => {}
         }
@@ -205,6 +206,7 @@
         }
         client.close_request(stream);
         client.used_at = now;
+        client.count_response();
         let head = frame::encode_head(
             frame::RESPONSE,
             stream,
--- a/crates/proxy/src/net/clients/closing.rs
+++ b/crates/proxy/src/net/clients/closing.rs
@@ -88,9 +88,12 @@
         let Some(client) = self.connections.get_mut(&number) else {
             return;
         };
-        if result.and_then(|()| client.stream.flush()).is_err() {
+        if result.and_then(|()| client.flush()).is_err() {
             return self.disconnect(number, poll);
         }
+        if client.stream.outbound.is_empty() && std::mem::take(&mut client.awaits_output) {
+            self.unread.insert(number);
+        }
         if (client.discards_input || self.closing) && client.is_idle() {
             return self.drain(number, now, poll);
         }
--- a/crates/proxy/src/net/clients/connection.rs
+++ b/crates/proxy/src/net/clients/connection.rs
@@ -11,6 +11,9 @@
 
 /// Number of faulty frames after which no more requests are read from a connection.
 const MAX_FAULTS: u32 = 16;
+/// Maximum number of responses that are queued without the client having read all earlier ones. Beyond it no more frames
+/// are handled, because each may cause another response.
+const MAX_UNREAD_RESPONSES: u32 = 256;
 /// A connection is not closed to make room within this time after it was accepted, after its last frame or response, or
 /// after a frame began: its next bytes may still be in transit.
 const MIN_EVICTION_AGE: Micros = 100_000;
@@ -50,6 +53,10 @@
     /// When the last frame was read or the last response sent.
     pub(super) used_at: Micros,
     faults: u32,
+    /// Responses that were queued since the output was last written completely.
+    unread_responses: u32,
+    /// Frames that have arrived are handled once all output is written.
+    pub(super) awaits_output: bool,
     /// Set while output is queued: the start of the current stall check, and the number of bytes written by then.
     pub(super) stalled: Option<(Micros, u64)>,
 }
@@ -70,6 +77,8 @@
             received_at: now,
             used_at: now,
             faults: 0,
+            unread_responses: 0,
+            awaits_output: false,
             stalled: None,
         }
     }
@@ -79,9 +88,29 @@
         self.half_closed || self.going_away
     }
 
+    /// Writes as much of the queued output as the kernel accepts now.
+    pub(super) fn flush(&mut self) -> io::Result<()> {
+        self.stream.flush()?;
+        if self.stream.outbound.is_empty() {
+            self.unread_responses = 0;
+        }
+        Ok(())
+    }
+
+    /// Counts a response that is about to be queued.
+    pub(super) fn count_response(&mut self) {
+        self.unread_responses += 1;
+    }
+
+    /// Whether too many responses are queued to handle another frame.
+    pub(super) fn has_output_backlog(&self) -> bool {
+        self.unread_responses >= MAX_UNREAD_RESPONSES && !self.stream.outbound.is_empty()
+    }
+
     /// Queues a response without fields and without a body.
     pub(super) fn queue_response(&mut self, stream: u32, code: u8) -> io::Result<()> {
         let head = frame::encode_head(frame::RESPONSE, stream, Some(code), Some(&[]), 0);
+        self.count_response();
         self.stream.queue(&head, &[])
     }
 
--- a/crates/proxy/src/net/clients/receiving.rs
+++ b/crates/proxy/src/net/clients/receiving.rs
@@ -26,6 +26,8 @@
     All,
     /// More input than one round handles.
     MoreInput,
+    /// More input than may be handled until the client has read the responses that are queued.
+    NeedsOutput,
     /// More input than the buffer may hold until the buffers of the clients have room again.
     NeedsMemory,
 }
@@ -75,6 +77,9 @@
         if client.half_closed && !client.stream.is_connected()? {
             return Err(io::ErrorKind::ConnectionReset.into());
         }
+        if client.has_output_backlog() && !client.discards_input {
+            client.flush()?;
+        }
         let ended = self.read(client)?;
         if ended && !client.half_closed {
             self.half_close(client)?;
@@ -83,6 +88,9 @@
             return Ok(self.remaining_input(client));
         }
         for _ in 0..MAX_FRAMES_PER_ROUND {
+            if client.has_output_backlog() {
+                return Ok(Received::NeedsOutput);
+            }
             match self.parse_next(client) {
                 Ok(Some((parsed, length))) => {
                     self.handle_frame(client, parsed, length)?;
@@ -285,6 +293,7 @@
             None => &[],
         };
         let head = frame::encode_head(frame::READINESS, stream, Some(code), Some(fields), 0);
+        client.count_response();
         client.stream.queue(&head, &[])
     }
 }
--- a/crates/proxy/tests/resource_limits.rs
+++ b/crates/proxy/tests/resource_limits.rs
@@ -133,6 +133,41 @@
     assert!(program.is_running());
 }
 
+// Guards against responses that pile up for clients that send at full speed and read nothing.
+#[test]
+fn clients_that_send_and_never_read_use_little_memory() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", cache.address)], journal.address);
+    config["limits"]["memory_mb"] = json!(32);
+    let mut program = Program::start(&config);
+    let mut other = Client::new(&program);
+    let end = std::time::Instant::now() + Duration::from_secs(3);
+    thread::scope(|scope| {
+        for _ in 0..6 {
+            let mut client = Client::with_small_receive_buffer(&program);
+            let timeout = Some(Duration::from_millis(100));
+            client.0.set_write_timeout(timeout).unwrap();
+            scope.spawn(move || {
+                let query = frame(80, 0, &[0]);
+                let queries = query.repeat(5000);
+                let mut written = 0;
+                while std::time::Instant::now() < end {
+                    // A write may end within a query.
+                    let rest = &queries[written % query.len()..];
+                    written += client.0.write(rest).unwrap_or(0);
+                }
+            });
+        }
+        for stream in (1..).take_while(|_| std::time::Instant::now() < end) {
+            assert_eq!(other.lookup(stream, "map").code(), 0);
+        }
+    });
+    let peak = program.peak_memory_kb();
+    assert!(peak < 32_000, "{peak} kB");
+    assert!(program.is_running());
+}
+
 /// Whether buffers use all the memory that they may, except the part that is left for reservations (a sixteenth).
 fn has_full_buffers(observed: &ObservedProxy) -> bool {
     let limit = observed.metric("meadowrill_front_buffer_limit_bytes");
