--- a/crates/proxy/src/net/attempt_error.rs
+++ b/crates/proxy/src/net/attempt_error.rs
@@ -40,6 +40,8 @@
     ClosedByEndpoint,
     /// The attempt timed out.
     TimedOut,
+    /// The time for the attempt ended before its connection was due: the request has too little time left.
+    Expired,
     /// The router cancelled the attempt, or its client has disconnected.
     Cancelled,
     /// All file descriptors for endpoint connections are in use.
@@ -81,20 +83,21 @@
         let cancelled = matches!(self.cause, Cause::Cancelled);
         match (self.progress, &self.cause) {
             (Progress::NotStarted, _) => AttemptOutcome::Superseded,
+            (Progress::Connecting, Cause::Expired) => AttemptOutcome::Superseded,
             _ if cancelled && !self.progress.is_accepted() => AttemptOutcome::Superseded,
             _ if cancelled => AttemptOutcome::Cancelled,
             (Progress::Connecting | Progress::PartlyWritten, _) => AttemptOutcome::ConnectFailed,
-            (_, Cause::TimedOut) => AttemptOutcome::TimedOut,
+            (_, Cause::TimedOut | Cause::Expired) => AttemptOutcome::TimedOut,
             (_, Cause::Response(_)) => AttemptOutcome::Error,
             _ => AttemptOutcome::ConnectionReset,
         }
     }
 
-    /// Which party is at fault. An attempt is cancelled when its client has disconnected, or when the router withdraws
+    /// Which party is at fault. An attempt expires when its client gave the request little time. It is cancelled when its client has disconnected, or when the router withdraws
     /// it before it is written; both count as caused by the client.
     pub(crate) fn source(&self) -> ErrorSource {
         match (self.progress, &self.cause) {
-            (_, Cause::Cancelled) => ErrorSource::Client,
+            (_, Cause::Cancelled | Cause::Expired) => ErrorSource::Client,
             (Progress::NotStarted, _) => ErrorSource::Internal,
             (_, Cause::NoDescriptor | Cause::Panicked) => ErrorSource::Internal,
             (_, Cause::Io(_) | Cause::ClosedByEndpoint) => ErrorSource::Endpoint,
@@ -121,6 +124,7 @@
             Cause::Io(e) => write!(f, ": {e}"),
             Cause::ClosedByEndpoint => write!(f, ": closed by the endpoint"),
             Cause::TimedOut => write!(f, ": timed out"),
+            Cause::Expired => write!(f, ": no time left"),
             Cause::Cancelled => write!(f, ": cancelled"),
             Cause::NoDescriptor => write!(f, ": no free file descriptor for endpoint connections"),
             Cause::Response(error) => write!(f, ": {error}"),
--- a/crates/proxy/src/net/attempt_error/tests.rs
+++ b/crates/proxy/src/net/attempt_error/tests.rs
@@ -25,6 +25,10 @@
         outcome(Progress::Connecting, Cause::TimedOut),
         AttemptOutcome::ConnectFailed
     );
+    assert_eq!(
+        outcome(Progress::Connecting, Cause::Expired),
+        AttemptOutcome::Superseded
+    );
     assert_eq!(
         outcome(Progress::PartlyWritten, Cause::ClosedByEndpoint),
         AttemptOutcome::ConnectFailed
--- a/crates/proxy/src/proxy/attempts.rs
+++ b/crates/proxy/src/proxy/attempts.rs
@@ -149,6 +149,18 @@
             .fail_attempt(connection, serial, cause, &self.poll);
     }
 
+    /// Fails an attempt whose time has ended. One that still waits for its connection shows nothing about the endpoint,
+    /// because its connect timeout has not passed.
+    pub(super) fn handle_attempt_timeout(&mut self, attempt: AttemptHandle) {
+        let connections = &self.upstream.connections;
+        let cause = if connections.is_unwritten(attempt.connection, attempt.serial) {
+            Cause::Expired
+        } else {
+            Cause::TimedOut
+        };
+        self.fail_attempt(attempt, cause);
+    }
+
     /// Fails an attempt whose connection has not been established within the connect timeout.
     pub(super) fn handle_connect_timeout(&mut self, attempt: AttemptHandle) {
         let connections = &self.upstream.connections;
--- a/crates/proxy/src/proxy/event_loop.rs
+++ b/crates/proxy/src/proxy/event_loop.rs
@@ -202,7 +202,7 @@
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Router(timer) => self.routing.queue(Event::TimerFired { timer }),
-                Timer::AttemptTimeout(attempt) => self.fail_attempt(attempt, Cause::TimedOut),
+                Timer::AttemptTimeout(attempt) => self.handle_attempt_timeout(attempt),
                 Timer::ConnectTimeout(attempt) => self.handle_connect_timeout(attempt),
                 Timer::Housekeeping => self.housekeeping(now),
                 Timer::AdmissionReport => {
--- a/crates/proxy/tests/attempts.rs
+++ b/crates/proxy/tests/attempts.rs
@@ -1,7 +1,9 @@
 //! Attempts that fail: what their end proves, and which response the client receives.
 
 use meadowrill_test_servers::*;
+use serde_json::json;
 use std::net::TcpListener;
+use std::thread;
 
 #[test]
 fn an_attempt_that_must_not_run_twice_is_retried_only_with_proof_that_it_did_not_run() {
@@ -71,3 +73,32 @@
     client.write(&request_frame(2, "order", &[("limit", "400")], b""));
     assert_eq!(client.read_response().code(), 5);
 }
+
+// Guards against endpoints that count as unreachable because clients give their requests too little time to connect.
+#[test]
+fn requests_with_little_time_left_do_not_count_against_an_endpoint() {
+    let mut peer = ScriptedPeer::listen();
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", peer.address)], journal.address);
+    config["settings"]["limits"]["connect_timeout_s"] = json!(5.0);
+    peer.fill_accept_queue();
+    let program = Program::start(&config);
+    let (mut hasty, mut other) = (Client::new(&program), Client::new(&program));
+    for stream in 1..=8 {
+        hasty.write(&request_frame(stream, "map", &[("limit", "30")], b""));
+        assert_ne!(hasty.read_response().code(), 0);
+    }
+    peer.clear_accept_queue();
+    // A request of another client is sent to the endpoint at once.
+    other.write(&request_frame(1, "map", &[], b""));
+    let response = thread::spawn(move || other.read_response());
+    let mut connection = loop {
+        // The connections of the hasty requests are closed without a request.
+        let mut connection = peer.accept();
+        if !connection.read_request().is_empty() {
+            break connection;
+        }
+    };
+    connection.respond_ok("fine");
+    assert_eq!(response.join().expect("a response").code(), 0);
+}
