--- a/crates/proxy/src/net/buffered_stream.rs
+++ b/crates/proxy/src/net/buffered_stream.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Whether the poll has reported that the peer has closed its side or that the connection has failed. There may be
+    /// unread input that arrived before.
+    pub(crate) fn is_end_reported(&self) -> bool {
+        self.end_reported
+    }
+
     /// Whether the buffer is empty and the poll has reported neither unread input nor the end of the stream.
     pub(crate) fn has_no_pending_input(&self) -> bool {
         self.inbound.is_empty() && !self.readable && !self.end_reported
--- a/crates/proxy/src/net/clients.rs
+++ b/crates/proxy/src/net/clients.rs
@@ -169,6 +169,7 @@
         let mut receiver = FrameReceiver {
             number,
             now,
+            received_bytes: 0,
             may_grow: self.input_memory.has_room(),
             readiness: Readiness {
                 ready: self.ready && self.available,
--- a/crates/proxy/src/net/clients/closing.rs
+++ b/crates/proxy/src/net/clients/closing.rs
@@ -117,7 +117,7 @@
             client.draining_until = Some(now + DRAIN_TIMEOUT);
             self.draining.insert((now + DRAIN_TIMEOUT, number));
         }
-        if client.half_closed {
+        if client.input_ended {
             self.disconnect(number, poll);
         }
     }
--- a/crates/proxy/src/net/clients/connection.rs
+++ b/crates/proxy/src/net/clients/connection.rs
@@ -38,8 +38,10 @@
     /// Further input is discarded: the peer has closed its side, reading was stopped after faults or a timeout, or the
     /// connection is being closed.
     pub(super) discards_input: bool,
-    /// The peer has closed its side.
+    /// The peer has closed its side. There may be unread input from before.
     pub(super) half_closed: bool,
+    /// All input was read up to the end of the peer's stream.
+    pub(super) input_ended: bool,
     /// The peer has been notified that new requests are rejected.
     going_away: bool,
     /// The sending direction is shut down, and the connection is closed when the peer closes its side or at this time.
@@ -70,6 +72,7 @@
             open_requests: Vec::new(),
             discards_input: false,
             half_closed: false,
+            input_ended: false,
             going_away: false,
             draining_until: None,
             has_sent_frame: false,
--- a/crates/proxy/src/net/clients/receiving.rs
+++ b/crates/proxy/src/net/clients/receiving.rs
@@ -19,6 +19,9 @@
     pub(super) caught_up: Option<bool>,
 }
 
+/// Input of a connection in one round, in bytes, from which on it is read until the kernel has no more.
+const BULK_BYTES: usize = frame::MAX_CLIENT_FRAME / 2;
+
 /// What remains to be read of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Received {
@@ -61,6 +64,8 @@
     /// Number of the connection.
     pub(super) number: u64,
     pub(super) now: Micros,
+    /// Input that was read in this round, in bytes.
+    pub(super) received_bytes: usize,
     /// Whether the input buffer may use more memory.
     pub(super) may_grow: bool,
     pub(super) readiness: Readiness,
@@ -72,7 +77,14 @@
 
 impl FrameReceiver<'_> {
     /// Reads available input and handles at most [`MAX_FRAMES_PER_ROUND`] frames.
+    ///
+    /// Input is read to its end before any of the requests is begun, because the client may have cancelled them, or may
+    /// have closed its side, behind them.
     pub(super) fn receive(&mut self, client: &mut ClientConnection) -> io::Result<Received> {
+        // Nobody may wait any more for the responses to requests that were not read before the close.
+        if client.stream.is_end_reported() {
+            self.half_close(client)?;
+        }
         // After the end of the peer's stream a read does not report a reset.
         if client.half_closed && !client.stream.is_connected()? {
             return Err(io::ErrorKind::ConnectionReset.into());
@@ -80,27 +92,34 @@
         if client.has_output_backlog() && !client.discards_input {
             client.flush()?;
         }
-        let ended = self.read(client)?;
-        if ended && !client.half_closed {
-            self.half_close(client)?;
-        }
-        if client.discards_input {
-            return Ok(self.remaining_input(client));
-        }
+        self.read(client)?;
         for _ in 0..MAX_FRAMES_PER_ROUND {
+            if client.discards_input {
+                return Ok(self.remaining_input(client));
+            }
             if client.has_output_backlog() {
                 return Ok(Received::NeedsOutput);
             }
+            if !self.handle_next_frame(client)? {
+                return Ok(self.remaining_input(client));
+            }
+        }
+        Ok(Received::MoreInput)
+    }
+
+    /// Handles the next frame, and reads again for it as long as there is input. Returns false if no frame is complete,
+    /// or if reading was stopped.
+    fn handle_next_frame(&mut self, client: &mut ClientConnection) -> io::Result<bool> {
+        loop {
             match self.parse_next(client) {
                 Ok(Some((parsed, length))) => {
                     self.handle_frame(client, parsed, length)?;
-                    if client.discards_input {
-                        return Ok(self.remaining_input(client));
-                    }
+                    return Ok(true);
                 }
+                Ok(None) if self.read(client)? => {}
                 Ok(None) => {
                     self.update_incomplete(client);
-                    return Ok(self.remaining_input(client));
+                    return Ok(false);
                 }
                 Err(error) => {
                     let client_number = self.number;
@@ -109,34 +128,43 @@
                         error,
                     });
                     client.stop_reading()?;
-                    return Ok(self.remaining_input(client));
+                    return Ok(false);
                 }
             }
         }
-        Ok(Received::MoreInput)
     }
 
-    /// Reads available input, and returns true once the peer has closed its side.
-    fn read(&self, client: &mut ClientConnection) -> io::Result<bool> {
-        if client.discards_input {
-            return client.stream.discard();
+    /// Reads available input. Returns whether there was any.
+    fn read(&mut self, client: &mut ClientConnection) -> io::Result<bool> {
+        if client.input_ended {
+            return Ok(false);
         }
         let before = client.stream.inbound.len();
-        let ended = if self.may_grow {
+        client.input_ended = if client.discards_input {
+            client.stream.discard()?
+        } else if self.may_grow {
             client.stream.fill()?
         } else {
             client.stream.fill_without_growth()?
         };
-        if client.stream.inbound.len() > before {
+        if client.input_ended {
+            self.half_close(client)?;
+        }
+        let received = client.stream.inbound.len().saturating_sub(before);
+        if received > 0 {
             client.received_at = self.now;
         }
-        Ok(ended)
+        self.received_bytes += received;
+        // After this much input the peer may have been blocked until now, so that a read that has emptied the kernel's
+        // buffer is not the end of what it has sent.
+        client.stream.readable |= received > 0 && self.received_bytes >= BULK_BYTES;
+        Ok(received > 0)
     }
 
     /// What remains to be read once all complete frames in the buffer are handled.
     fn remaining_input(&self, client: &ClientConnection) -> Received {
         let stream = &client.stream;
-        if !stream.readable || client.half_closed {
+        if !stream.readable || client.input_ended {
             Received::All
         } else if client.discards_input
             || self.may_grow
@@ -152,7 +180,9 @@
     /// only shut down its sending direction still reads. Both look the same until something is written. A closed peer
     /// answers the going-away notice with a reset, which ends the attempts of its requests.
     fn half_close(&mut self, client: &mut ClientConnection) -> io::Result<()> {
-        client.half_closed = true;
+        if std::mem::replace(&mut client.half_closed, true) {
+            return Ok(());
+        }
         let open = client.open_requests.iter();
         self.events
             .extend(open.map(|(_, id)| ClientEvent::HalfClosed { id: *id }));
@@ -170,7 +200,7 @@
         } else {
             None
         };
-        client.discards_input |= client.half_closed;
+        client.discards_input |= client.input_ended;
     }
 
     /// Returns the next complete frame and its length.
--- a/crates/proxy/src/proxy/event_loop.rs
+++ b/crates/proxy/src/proxy/event_loop.rs
@@ -14,7 +14,7 @@
 use crate::net::discovery::Loss;
 use crate::net::peers::Peers;
 use crate::net::syscalls::increment;
-use crate::net::{Cause, Key, ReadyEvents};
+use crate::net::{Key, ReadyEvents};
 use crate::report;
 use calloop::{EventLoop, Readiness};
 use meadowrill_routing::host::catch_panic;
--- a/crates/proxy/tests/client_disconnect.rs
+++ b/crates/proxy/tests/client_disconnect.rs
@@ -206,6 +206,40 @@
     assert!(!cache.received_request(1));
 }
 
+// Guards against requests that are begun for a client that has gone, because the end of its stream is behind them.
+#[test]
+fn requests_that_were_unread_when_their_client_closed_are_not_begun() {
+    let cache = Cache::start(ok(b"fine"));
+    let (program, _journal) = Program::with_cache(&cache);
+    let (mut client, mut other) = (Client::new(&program), Client::new(&program));
+    assert_eq!((client.readiness(), other.lookup(1, "map").code()), (0, 0));
+    assert!(cache.received_request(1));
+    // The kernel grows its receive buffer for a client that sends much.
+    let body = [9; 20_000];
+    for stream in 101..=300 {
+        client.write(&request_frame(stream, "map", &[], &body));
+        assert_eq!(client.read_response().code(), 0);
+    }
+    while cache.events.try_recv().is_ok() {}
+    // More than the proxy's own buffer holds, all received by the kernel with the end of the stream.
+    program.pause();
+    for stream in 1001..=1008 {
+        client.write(&request_frame(stream, "map", &[], &body));
+    }
+    shut_down_sending(&client);
+    program.resume();
+    let mut responses: Vec<_> = std::iter::from_fn(|| client.read_frame())
+        .filter(|frame| frame.kind == 66)
+        .map(|frame| (frame.stream, frame.code()))
+        .collect();
+    responses.sort_unstable();
+    let rejected: Vec<_> = (1001..=1008).map(|stream| (stream, 11)).collect();
+    assert_eq!(responses, rejected);
+    assert_eq!(other.lookup(2, "map").code(), 0);
+    let next = cache.next_request().1;
+    assert!(next.contains("X-Req: 0000000000000002"), "{next}");
+}
+
 #[test]
 fn a_request_that_arrives_with_the_end_of_its_stream_is_rejected_and_not_begun() {
     let cache = Cache::start(ok(b"fine"));
