--- a/crates/benchmarks/src/scale/decisions.rs
+++ b/crates/benchmarks/src/scale/decisions.rs
@@ -217,6 +217,7 @@
             group: 0,
             class: 0,
             deadline: self.now + 4 * SEC,
+            effect: 0,
         };
         self.handle(proxy, Event::RequestArrived(request));
     }
--- a/crates/benchmarks/src/scale/module.rs
+++ b/crates/benchmarks/src/scale/module.rs
@@ -55,6 +55,7 @@
             group: 0,
             class: 0,
             deadline: now + 4_000_000,
+            effect: 0,
         };
         actions.clear();
         router.handle_event(now, Event::RequestArrived(request), &mut actions);
--- a/crates/proxy/src/proxy.rs
+++ b/crates/proxy/src/proxy.rs
@@ -21,6 +21,7 @@
 mod client_requests;
 mod downstream;
 mod effect_claims;
+mod effect_id;
 mod endpoint_list;
 mod endpoints;
 mod event_loop;
@@ -66,6 +67,7 @@
 use meadowrill_routing::interface::Micros;
 use meadowrill_routing::router::Router;
 use slog::Logger;
+use std::hash::RandomState;
 use std::io;
 use std::net::TcpListener;
 use std::path::Path;
@@ -90,6 +92,8 @@
     fleet: Fleet,
     operators: OperatorInterface,
     metrics: Metrics,
+    /// Hashes the ids of side effects; clients cannot predict it.
+    effect_hasher: RandomState,
     availability: Availability,
     shutdown: Shutdown,
     snapshot: SnapshotSchedule,
@@ -133,6 +137,7 @@
                 benchmark_counts,
             },
             metrics: Metrics::default(),
+            effect_hasher: RandomState::new(),
             availability: Availability::default(),
             shutdown: Shutdown::default(),
             snapshot: SnapshotSchedule::new(&config, now),
--- a/crates/proxy/src/proxy/admission.rs
+++ b/crates/proxy/src/proxy/admission.rs
@@ -31,6 +31,7 @@
 
     /// Queues the arrival of a request as an event for the router.
     pub(super) fn queue_for_router(&mut self, id: u32) {
+        let effect = self.effect_id(id);
         let Some(ProxiedRequest {
             message,
             class,
@@ -48,6 +49,7 @@
             group: message.group,
             class: *class,
             deadline: *deadline,
+            effect,
         }));
     }
 
--- a/crates/proxy/tests/client_disconnect.rs
+++ b/crates/proxy/tests/client_disconnect.rs
@@ -317,6 +317,62 @@
     cache.wait_until_closed(number);
 }
 
+// Guards against effects that happen twice, because a request comes again after its client has left.
+#[test]
+fn a_request_with_an_effect_that_comes_again_after_its_client_left_is_not_sent_again() {
+    let cache = Cache::start(CacheBehavior::Ignore);
+    let (program, _journal) = Program::with_cache(&cache);
+    for (id, closes) in [(101, true), (102, false)] {
+        let request_id = format!("{id:016x}");
+        let order = request_frame(1, "order", &[("txn", &request_id)], b"");
+        let mut client = Client::new(&program);
+        client.write(&order);
+        let (number, head, _) = cache.next_request();
+        assert_eq!(header(&head, "X-Req"), Some(request_id.as_str()));
+        // The second client repeats the request after the first has left, or while it still waits.
+        let first = (!closes).then_some(client);
+        if closes {
+            cache.wait_until_closed(number);
+        }
+        let mut second = Client::new(&program);
+        second.write(&order);
+        assert_eq!(second.read_response().code(), 5);
+        assert!(!cache.received_request(id));
+        drop(first);
+    }
+    // Another request, and one that may be repeated, are sent.
+    for class in ["order", "map"] {
+        let mut client = Client::new(&program);
+        client.write(&request_frame(7, class, &[], b""));
+        while header(&cache.next_request().1, "X-Req") != Some("0000000000000007") {}
+    }
+}
+
+// Guards against a deduplicated effect that happens twice: the endpoints forget its key some time after the first send.
+#[test]
+fn a_key_that_comes_again_is_sent_only_within_the_window_of_its_first_send() {
+    let cache = Cache::start(CacheBehavior::Ignore);
+    let (program, _journal) = Program::with_cache(&cache);
+    let mut client = Client::new(&program);
+    let key = ("unique", "5c0f6e1a2b3d4c59");
+    let mut book = |stream: u32| {
+        let fields = [key, ("limit", "300")];
+        client.write(&request_frame(stream, "book", &fields, b""));
+        client.read_response();
+    };
+    let start = std::time::Instant::now();
+    book(1);
+    assert!(cache.received_request(1));
+    book(2);
+    assert!(start.elapsed() < program::KEY_TTL);
+    assert!(cache.received_request(2));
+    std::thread::sleep(
+        program::KEY_TTL.saturating_sub(start.elapsed()) + Duration::from_millis(10),
+    );
+    book(3);
+    assert!(!cache.received_request(3));
+}
+
 #[test]
 fn requests_cancelled_at_once_do_not_stay_in_flight() {
     let cache = Cache::start(ok(b"fine"));
--- a/crates/routing/src/dispatch.rs
+++ b/crates/routing/src/dispatch.rs
@@ -135,6 +135,7 @@
             return;
         };
         pending.start_attempt(planned, now);
+        self.effects.record_start(now, pending.request.effect);
         let endpoint = &mut self.endpoints[planned.endpoint];
         endpoint.limit.start(now, 1.0);
         endpoint.health.record_attempt(now);
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -74,6 +74,8 @@
     pub class: usize,
     /// When the client stops waiting.
     pub deadline: Micros,
+    /// Identifies the side effect: requests by which clients repeat one have the same. 0 if no other request repeats it.
+    pub effect: u64,
 }
 
 /// How an attempt ended.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `outlier_detection` | which endpoints are ejected, and when they get probe requests |
 //! | `fill_policy` | how far an attempt may go: to the cache, its parent or the origin |
 //! | `retry` | whether another attempt may start, and the retry budget |
+//! | `effect_history` | which effects earlier requests may have had |
 //! | `deadline` | latency objectives, slack, timeouts |
 //! | `freshness` | the oldest copy that may be served |
 //! | `size_fairness` | the minimum answered share of the largest requests |
@@ -25,6 +26,7 @@
 mod concurrency_limit;
 mod deadline;
 mod dispatch;
+mod effect_history;
 mod ended_attempt;
 mod endpoint;
 mod estimate;
--- a/crates/routing/src/outcome.rs
+++ b/crates/routing/src/outcome.rs
@@ -104,6 +104,8 @@
             .is_some_and(|source| suspected(source) > suspected(ended.end.endpoint));
         attempt.record_end(&ended, stalled, ended.fault.ambiguous && source_is_worse);
         self.record_link_load(&ended.end, now);
+        self.effects
+            .record_end(now, ended.request.effect, ended.end.outcome.may_have_run());
         Some(ended)
     }
 
--- a/crates/routing/src/pending_request.rs
+++ b/crates/routing/src/pending_request.rs
@@ -136,6 +136,11 @@
         !self.answered && !self.response_started
     }
 
+    /// Whether any of its attempts may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.may_have_run)
+    }
+
     pub(crate) fn has_attempt_in_flight(&self) -> bool {
         self.attempts.iter().any(|attempt| attempt.in_flight)
     }
--- a/crates/routing/src/planning.rs
+++ b/crates/routing/src/planning.rs
@@ -46,7 +46,13 @@
         let pending = self.requests.get(&id)?;
         let request = pending.request;
         let class = &self.classes[request.class];
-        if !may_start_attempt(pending, class, &self.settings, now) {
+        if !may_start_attempt(
+            pending,
+            self.first_run(pending, now),
+            class,
+            &self.settings,
+            now,
+        ) {
             return None;
         }
         let uncacheable = class.settings.uncacheable;
--- a/crates/routing/src/response.rs
+++ b/crates/routing/src/response.rs
@@ -6,7 +6,6 @@
 //! much time remains, because the client may succeed elsewhere or later.
 
 use crate::interface::{Action, Micros};
-use crate::pending_request::PendingRequest;
 use crate::random::Random;
 use crate::settings::{Idempotency, LimitSettings};
 use crate::time::SECOND;
@@ -19,15 +18,13 @@
 /// Builds the answer to a request that cannot continue: rejected with Retry-After if the client can safely send it
 /// again, otherwise failed.
 pub(crate) fn final_answer(
-    pending: &PendingRequest,
-    idempotency: Idempotency,
+    id: u32,
+    is_unsafe_to_repeat: bool,
     limits: &LimitSettings,
     random: &mut Random,
 ) -> Action {
-    let id = pending.request.id;
     let spread = (random.fraction() * RETRY_AFTER_SPREAD as f64) as Micros;
-    let may_have_run = pending.attempts.iter().any(|attempt| attempt.may_have_run);
-    if may_have_run && !is_safe_to_repeat(idempotency) {
+    if is_unsafe_to_repeat {
         return Action::Fail { id };
     }
     let advice = limits.max_retry_after.min(MIN_RETRY_AFTER + spread);
@@ -37,11 +34,13 @@
     }
 }
 
-/// Whether a client may repeat a request that may already have run.
-fn is_safe_to_repeat(idempotency: Idempotency) -> bool {
-    match idempotency {
-        Idempotency::Idempotent => true,
-        Idempotency::Keyed { shared_by_all, .. } => shared_by_all,
-        Idempotency::NonIdempotent => false,
+impl Idempotency {
+    /// Whether a client may repeat a request that may already have run.
+    pub(crate) fn is_safe_to_repeat(self) -> bool {
+        match self {
+            Idempotency::Idempotent => true,
+            Idempotency::Keyed { shared_by_all, .. } => shared_by_all,
+            Idempotency::NonIdempotent => false,
+        }
     }
 }
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -52,9 +52,17 @@
 }
 
 impl Idempotency {
-    /// Whether another attempt may run in addition to earlier ones of the same request.
-    pub(crate) fn allows_repeat(self, earlier: &[Attempt], now: Micros) -> bool {
-        let Some(first) = earlier.iter().find(|attempt| attempt.may_have_run) else {
+    /// Whether another attempt may run in addition to earlier ones of the same request, and to those of other requests
+    /// with the same effect, the first of which was started at `first_run`.
+    pub(crate) fn allows_repeat(
+        self,
+        earlier: &[Attempt],
+        first_run: Option<Micros>,
+        now: Micros,
+    ) -> bool {
+        let own = earlier.iter().find(|attempt| attempt.may_have_run);
+        let own = own.map(|attempt| attempt.started_at);
+        let Some(first) = own.into_iter().chain(first_run).min() else {
             return true;
         };
         match self {
@@ -63,16 +71,17 @@
             Idempotency::Keyed {
                 shared_by_all,
                 window,
-            } => shared_by_all && now < first.started_at + window,
+            } => shared_by_all && now < first + window,
             Idempotency::NonIdempotent => false,
         }
     }
 }
 
 /// Whether the next attempt of a request may start: before the deadline, within the maximum number of attempts, one
-/// at a time, and without a second effect.
+/// at a time, and without a second effect. `first_run`: when another request with the same effect may first have run.
 pub(crate) fn may_start_attempt(
     pending: &PendingRequest,
+    first_run: Option<Micros>,
     class: &RequestClass,
     settings: &RoutingSettings,
     now: Micros,
@@ -84,7 +93,7 @@
         && class
             .settings
             .idempotency
-            .allows_repeat(&pending.attempts, now)
+            .allows_repeat(&pending.attempts, first_run, now)
 }
 
 /// Whether a retry cannot succeed because only the origin can run the request and an origin is ejected.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -15,6 +15,7 @@
 //!    complete, is retried, or waits.
 //! 5. `response` builds the final answer of a request that cannot continue.
 
+use crate::effect_history::EffectHistory;
 use crate::endpoint::EndpointTable;
 use crate::fill_policy::FillLimits;
 use crate::freshness::Freshness;
@@ -46,6 +47,7 @@
     pub(crate) classes: Vec<RequestClass>,
     pub(crate) requests: BTreeMap<u32, PendingRequest>,
     pub(crate) retry_budget: RetryBudget,
+    pub(crate) effects: EffectHistory,
     pub(crate) tail_retention: TailRetention,
     pub(crate) freshness: Freshness,
     pub(crate) fill_limits: FillLimits,
@@ -65,6 +67,7 @@
             classes: classes.into_iter().map(RequestClass::new).collect(),
             requests: BTreeMap::new(),
             retry_budget: RetryBudget::new(),
+            effects: EffectHistory::new(),
             tail_retention: TailRetention::new(),
             freshness: Freshness::new(settings.invalidation_settle_time),
             fill_limits: FillLimits::new(settings.proxies),
@@ -172,7 +175,18 @@
             && accepts(attempt.endpoint)
             && attempt.source.is_none_or(accepts)
             && self.freshness.latest_bound(now, &pending.request) <= attempt.known_bound
-            && idempotency.allows_repeat(&pending.attempts[..number], now)
+            && idempotency.allows_repeat(
+                &pending.attempts[..number],
+                self.first_run(pending, now),
+                now,
+            )
+    }
+
+    /// When the first attempt with the effect of a request was started, if another request may have caused it.
+    pub(crate) fn first_run(&self, pending: &PendingRequest, now: Micros) -> Option<Micros> {
+        let own_in_flight = u32::from(pending.has_attempt_in_flight());
+        let effect = pending.request.effect;
+        self.effects.first_run(now, effect, own_in_flight)
     }
 
     fn response_started(&mut self, id: u32) {
@@ -247,8 +261,14 @@
         };
         let request = pending.request;
         let idempotency = self.classes[request.class].settings.idempotency;
+        let may_have_run = pending.may_have_run() || self.first_run(pending, now).is_some();
         let limits = &self.settings.limits;
-        actions.push(final_answer(pending, idempotency, limits, &mut self.random));
+        actions.push(final_answer(
+            request.id,
+            may_have_run && !idempotency.is_safe_to_repeat(),
+            limits,
+            &mut self.random,
+        ));
         self.record_final_answer(&request, false, now);
         self.close_request(id, actions);
     }
--- a/crates/routing/tests/decision_trace/simulation.rs
+++ b/crates/routing/tests/decision_trace/simulation.rs
@@ -202,6 +202,7 @@
             group: (object % 16) as u32,
             class,
             deadline: self.now + client_timeout,
+            effect: 0,
         };
         if self.random.per_mille(20) {
             let at = self.now + self.random.below(400) as Micros * MILLIS;
--- a/crates/routing/tests/invalidation_capacity.rs
+++ b/crates/routing/tests/invalidation_capacity.rs
@@ -56,6 +56,7 @@
         group: 9,
         class: 0,
         deadline: now + SECOND,
+        effect: 0,
     };
     actions.clear();
     router.handle_event(now, Event::RequestArrived(request), &mut actions);
--- a/crates/routing/tests/overload_recovery.rs
+++ b/crates/routing/tests/overload_recovery.rs
@@ -423,6 +423,7 @@
                         group: 0,
                         class: 0,
                         deadline: at + CLIENT_TIMEOUT,
+                        effect: 0,
                     };
                     self.queue
                         .push(at + CLIENT_TIMEOUT, Scheduled::ClientLeaves(proxy, id));
--- a/crates/routing/tests/scenarios/main.rs
+++ b/crates/routing/tests/scenarios/main.rs
@@ -129,6 +129,7 @@
             group: number("group", 0.0) as u32,
             class: number("class", 0.0) as usize,
             deadline: now + (number("deadline", 5.0) * 1e6) as Micros,
+            effect: 0,
         }
     }
 
--- a/crates/routing/tests/size_fairness.rs
+++ b/crates/routing/tests/size_fairness.rs
@@ -180,6 +180,7 @@
             group: 0,
             class: 0,
             deadline: self.now + 6 * SECOND,
+            effect: 0,
         };
         self.handle(Event::RequestArrived(request));
     }
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -210,6 +210,7 @@
             group: 0,
             class: 0,
             deadline: self.now + 4 * SECOND,
+            effect: 0,
         };
         self.handle(number, Event::RequestArrived(request));
     }
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -125,6 +125,7 @@
                 group: batch_id as u32,
                 class: usize::from(lane),
                 deadline: micros(expires_s),
+                effect: 0,
             }),
             InputRecord::First { id } => Event::ResponseStarted { id },
             InputRecord::Done(d) => Event::AttemptEnded(AttemptEnd {
