--- a/crates/benchmarks/src/scale/decisions.rs
+++ b/crates/benchmarks/src/scale/decisions.rs
@@ -92,6 +92,7 @@
 impl Model {
     fn new(seed: u64, proxies: usize, rate: f64, cache_event: CacheEvent) -> Model {
         let entry = |endpoint: EndpointIndex| EndpointEntry {
+            address: 0,
             endpoint,
             stable_id: (endpoint as u64 + 3).wrapping_mul(0x9e37_79b9_7f4a_7c15),
             endpoint_kind: if endpoint < CACHES {
--- a/crates/benchmarks/src/scale/module.rs
+++ b/crates/benchmarks/src/scale/module.rs
@@ -18,6 +18,7 @@
 
 fn entry(endpoint: EndpointIndex) -> EndpointEntry {
     EndpointEntry {
+        address: 0,
         endpoint,
         stable_id: (endpoint as u64 + 3).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         endpoint_kind: match endpoint {
--- a/crates/proxy/src/proxy/endpoint_list.rs
+++ b/crates/proxy/src/proxy/endpoint_list.rs
@@ -1,5 +1,6 @@
 //! Applies updates of the discovery service: the endpoint list and invalidations.
 
+use super::endpoints::EndpointAddress;
 use super::Proxy;
 use crate::net::discovery::{
     self, log_event, DiscoveryClient, EndpointRecord, MissedEvents, Notice, Update,
@@ -136,6 +137,7 @@
             stable_id: stable,
             endpoint_kind: name_index(&self.config.endpoint_types, &record.endpoint_kind),
             started_at: record.started_at,
+            address: address.map_or(0, EndpointAddress::stable_id),
             zone: name_index(&self.config.zones, &record.zone),
             cell: record.cell,
             weight: record.weight,
--- a/crates/proxy/src/proxy/endpoints.rs
+++ b/crates/proxy/src/proxy/endpoints.rs
@@ -1,7 +1,7 @@
 //! Directory of the endpoints that discovery has listed: the index that the router uses, the id and the address.
 
 use compact_str::CompactString;
-use meadowrill_routing::host::EndpointIndices;
+use meadowrill_routing::host::{stable_id, EndpointIndices};
 use meadowrill_routing::interface::EndpointIndex;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,6 +13,13 @@
     pub(super) host: CompactString,
 }
 
+impl EndpointAddress {
+    /// Identifies the address for the router.
+    pub(super) fn stable_id(&self) -> u64 {
+        stable_id(&self.host)
+    }
+}
+
 /// Endpoints by index. An index is valid from the first listing of its endpoint until the router releases it.
 #[derive(Default)]
 pub(super) struct EndpointDirectory {
--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -242,6 +242,36 @@
     assert_eq!(client.lookup(1, "order").code(), 11);
 }
 
+// Guards against requests that reach a new process under the name of the one that had its address before.
+#[test]
+fn an_endpoint_whose_address_a_later_process_has_taken_gets_no_more_requests() {
+    let cache = Cache::start(ok(b"fine"));
+    let journal = Journal::start();
+    let program = Program::start(&config(&[("s-a", cache.address)], journal.address));
+    let (_, mut service) = journal.accept_subscriber();
+    let mut client = Client::new(&program);
+    assert_eq!(client.lookup(1, "map").code(), 0);
+    // The new process drains. That the former one has gone is not reported yet.
+    let started_at = now_ms() as u64;
+    for (pos, phase) in [(2, "SERVING"), (3, "DRAINING")] {
+        let mut new_process = member("s-c", "std", cache.address, phase);
+        new_process["up_since_ms"] = json!(started_at);
+        service
+            .write_all(hosts_event(pos, &json!([new_process])).as_bytes())
+            .unwrap();
+    }
+    let is_rejected = |stream: u32| client.lookup(stream, "map").code() == 11;
+    assert!((2..2_000).any(is_rejected), "the drain took no effect");
+    // A later list of the former process changes nothing.
+    let former = member("s-a", "std", cache.address, "SERVING");
+    service
+        .write_all(hosts_event(4, &json!([former])).as_bytes())
+        .unwrap();
+    service.write_all(b"4\n").unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    assert_eq!(client.lookup(3_000, "map").code(), 11);
+}
+
 #[test]
 fn endpoint_list_changes_take_effect_and_an_address_may_pass_to_another_endpoint() {
     let (first, second) = (Cache::start(ok(b"first")), Cache::start(ok(b"second")));
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -39,6 +39,8 @@
     /// Listed as ready: neither draining nor removed.
     pub(crate) accepts_requests: bool,
     removed_at: Option<Micros>,
+    /// Identifies its network address; 0 if unknown.
+    address: u64,
     /// Start time of its process as last reported by discovery.
     reported_start: Micros,
     /// Failures, unanswered attempts and probe requests.
@@ -65,6 +67,7 @@
             weight: 1.0,
             accepts_requests: false,
             removed_at: None,
+            address: 0,
             reported_start: 0,
             health: Health::default(),
             limit: ConcurrencyLimit::for_endpoint(),
@@ -84,6 +87,7 @@
             self.reset_for_new_process(entry.started_at, now);
         }
         self.stable_id = entry.stable_id;
+        self.address = entry.address;
         self.zone = usize::from(entry.zone);
         self.weight = if settings.uses_weights {
             entry.weight.max(MINIMUM_WEIGHT)
@@ -206,9 +210,12 @@
             EndpointUpdate::Delta(entries) => entries,
             EndpointUpdate::Unavailable => return,
         };
-        for entry in entries {
+        for entry in &entries {
             self.get_or_default(entry.endpoint)
-                .apply_entry(entry, settings, now);
+                .apply_entry(*entry, settings, now);
+        }
+        for entry in entries {
+            self.remove_replaced(entry.address, now);
         }
         self.release(known, now, actions);
     }
@@ -221,6 +228,25 @@
         }
     }
 
+    /// Removes the endpoints whose address a process that started later has taken over. Discovery may report that they
+    /// are gone only later, and until then their requests would reach the new process.
+    fn remove_replaced(&mut self, address: u64, now: Micros) {
+        let mut holders = self.endpoints.iter_mut().filter(|endpoint| {
+            address != 0 && endpoint.address == address && endpoint.removed_at.is_none()
+        });
+        let Some(mut latest) = holders.next() else {
+            return;
+        };
+        for holder in holders {
+            if holder.reported_start > latest.reported_start {
+                latest.remove(now);
+                latest = holder;
+            } else if holder.reported_start < latest.reported_start {
+                holder.remove(now);
+            }
+        }
+    }
+
     fn release(&mut self, known: usize, now: Micros, actions: &mut Vec<Action>) {
         for (index, endpoint) in self.endpoints.iter_mut().enumerate().take(known) {
             if endpoint.is_releasable(now) {
--- a/crates/routing/src/interface.rs
+++ b/crates/routing/src/interface.rs
@@ -36,6 +36,8 @@
     pub endpoint_kind: u8,
     /// When its process last started; 0 if that was long ago.
     pub started_at: Micros,
+    /// Identifies its network address; 0 if unknown.
+    pub address: u64,
     /// Zone of the endpoint; a proxy uses only the caches of its own zone.
     pub zone: u8,
     /// Failure domain within the zone.
--- a/crates/routing/tests/decision_trace/simulation.rs
+++ b/crates/routing/tests/decision_trace/simulation.rs
@@ -647,6 +647,7 @@
         stable_id: Random::new(endpoint as u64 + 77).next_u64() >> 16,
         endpoint_kind,
         started_at: 0,
+        address: 0,
         zone,
         cell: 0,
         weight: 1.0 + (endpoint % 3) as f64,
--- a/crates/routing/tests/invalidation_capacity.rs
+++ b/crates/routing/tests/invalidation_capacity.rs
@@ -14,6 +14,7 @@
 /// A cache, a parent and the origin.
 fn endpoints() -> Vec<EndpointEntry> {
     let entry = |endpoint: EndpointIndex| EndpointEntry {
+        address: 0,
         endpoint,
         stable_id: endpoint as u64 + 9,
         endpoint_kind: endpoint as u8,
--- a/crates/routing/tests/overload_recovery.rs
+++ b/crates/routing/tests/overload_recovery.rs
@@ -105,6 +105,7 @@
         for number in 0..PROXIES {
             let mut proxy = Router::new(seed + number as u64, &fleet_settings(), &mut Vec::new());
             let entries = (0..=ORIGIN).map(|endpoint| EndpointEntry {
+                address: 0,
                 endpoint,
                 stable_id: match endpoint {
                     0..CACHES => (number % ZONES * 100 + endpoint) as u64 * 0x9e37_79b9 + 1,
--- a/crates/routing/tests/scenarios/main.rs
+++ b/crates/routing/tests/scenarios/main.rs
@@ -138,6 +138,7 @@
         let fields: Vec<&str> = rest.split(',').collect();
         let hash = |hash: u64, byte| hash.wrapping_mul(1_000_003) ^ u64::from(byte);
         EndpointEntry {
+            address: 0,
             endpoint: self.endpoint(name),
             stable_id: name.bytes().fold(7, hash),
             endpoint_kind: parsed(fields[0]),
--- a/crates/routing/tests/size_fairness.rs
+++ b/crates/routing/tests/size_fairness.rs
@@ -55,6 +55,7 @@
     fn new(seed: u64) -> Simulation {
         let mut router = Router::new(seed, &settings(&[]), &mut Vec::new());
         let entries = (0..=ORIGIN).map(|endpoint| EndpointEntry {
+            address: 0,
             endpoint,
             stable_id: (endpoint as u64 + 3).wrapping_mul(0x9e37_79b9_7f4a_7c15),
             endpoint_kind: if endpoint < CACHES {
--- a/crates/routing/tests/slow_start.rs
+++ b/crates/routing/tests/slow_start.rs
@@ -99,6 +99,7 @@
                 1 + u8::from(endpoint == ORIGIN)
             },
             started_at: 0,
+            address: 0,
             zone: 0,
             cell: 0,
             weight: 4.0,
--- a/crates/simulator-adapter/src/main.rs
+++ b/crates/simulator-adapter/src/main.rs
@@ -72,6 +72,7 @@
 impl Instance {
     fn endpoint_entries(&mut self, roster: &[RosterEntry]) -> Vec<EndpointEntry> {
         let endpoint_entry = |entry: &RosterEntry| EndpointEntry {
+            address: 0,
             endpoint: self.caches.get_or_insert(&entry.cache),
             stable_id: u64::from(u32::from_be_bytes(entry.cache.0)) << 16
                 | u64::from(entry.cache.1),
