--- a/crates/proxy/src/net/attempt_error.rs
+++ b/crates/proxy/src/net/attempt_error.rs
@@ -93,8 +93,8 @@
         }
     }
 
-    /// Which party is at fault. An attempt expires when its client gave the request little time. It is cancelled when its client has disconnected, or when the router withdraws
-    /// it before it is written; both count as caused by the client.
+    /// Which party is at fault. An attempt expires if its client gave the request too little time. It is cancelled when its
+    /// client has disconnected, or when the router withdraws it before it is written. All count as caused by the client.
     pub(crate) fn source(&self) -> ErrorSource {
         match (self.progress, &self.cause) {
             (_, Cause::Cancelled | Cause::Expired) => ErrorSource::Client,
