--- a/crates/proxy/tests/discovery.rs
+++ b/crates/proxy/tests/discovery.rs
@@ -272,6 +272,35 @@
     assert_eq!(client.lookup(3_000, "map").code(), 11);
 }
 
+// Guards against requests that are written to the former address of an endpoint, where another process may be by now.
+#[test]
+fn a_request_that_waits_for_its_connection_follows_its_endpoint_to_another_address() {
+    let (mut former, current) = (ScriptedPeer::listen(), ScriptedPeer::listen());
+    let journal = Journal::start();
+    let mut config = config(&[("s-a", former.address)], journal.address);
+    config["settings"]["limits"]["connect_timeout_s"] = json!(5.0);
+    former.fill_accept_queue();
+    let program = Program::start(&config);
+    let (_, mut service) = journal.accept_subscriber();
+    let mut client = Client::new(&program);
+    client.write(&request_frame(1, "map", &[("limit", "3000")], b""));
+    // The proxy has begun to connect once the second query is answered.
+    assert_eq!((client.readiness(), client.readiness()), (0, 0));
+    let moved = member("s-a", "std", current.address, "SERVING");
+    service
+        .write_all(hosts_event(2, &json!([moved])).as_bytes())
+        .unwrap();
+    std::thread::sleep(Duration::from_millis(100));
+    former.clear_accept_queue();
+    assert_eq!(former.accept().read_request(), "");
+    let mut connection = current.accept();
+    assert!(connection
+        .read_request()
+        .contains("X-Req: 0000000000000001"));
+    connection.respond_ok("fine");
+    assert_eq!(client.read_response().code(), 0);
+}
+
 #[test]
 fn endpoint_list_changes_take_effect_and_an_address_may_pass_to_another_endpoint() {
     let (first, second) = (Cache::start(ok(b"first")), Cache::start(ok(b"second")));
--- a/crates/routing/src/dispatch.rs
+++ b/crates/routing/src/dispatch.rs
@@ -134,9 +134,9 @@
         let Some(pending) = self.requests.get_mut(&planned.id) else {
             return;
         };
-        pending.start_attempt(planned, now);
-        self.effects.record_start(now, pending.request.effect);
         let endpoint = &mut self.endpoints[planned.endpoint];
+        pending.start_attempt(planned, endpoint.address, now);
+        self.effects.record_start(now, pending.request.effect);
         endpoint.limit.start(now, 1.0);
         endpoint.health.record_attempt(now);
         if let Some(source) = planned.source() {
--- a/crates/routing/src/endpoint.rs
+++ b/crates/routing/src/endpoint.rs
@@ -40,7 +40,7 @@
     pub(crate) accepts_requests: bool,
     removed_at: Option<Micros>,
     /// Identifies its network address; 0 if unknown.
-    address: u64,
+    pub(crate) address: u64,
     /// Start time of its process as last reported by discovery.
     reported_start: Micros,
     /// Failures, unanswered attempts and probe requests.
--- a/crates/routing/src/pending_request.rs
+++ b/crates/routing/src/pending_request.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Attempt {
     pub(crate) endpoint: EndpointIndex,
+    /// The address that the endpoint had when the attempt was started.
+    pub(crate) address: u64,
     pub(crate) source: Option<EndpointIndex>,
     pub(crate) started_at: Micros,
     pub(crate) in_flight: bool,
@@ -62,9 +64,10 @@
 }
 
 impl Attempt {
-    fn start(planned: &PlannedAttempt, now: Micros) -> Attempt {
+    fn start(planned: &PlannedAttempt, address: u64, now: Micros) -> Attempt {
         Attempt {
             endpoint: planned.endpoint,
+            address,
             source: planned.source(),
             started_at: now,
             in_flight: true,
@@ -119,8 +122,9 @@
         }
     }
 
-    pub(crate) fn start_attempt(&mut self, planned: &PlannedAttempt, now: Micros) {
-        self.attempts.push(Attempt::start(planned, now));
+    /// Adds a started attempt. `address` is that of its endpoint.
+    pub(crate) fn start_attempt(&mut self, planned: &PlannedAttempt, address: u64, now: Micros) {
+        self.attempts.push(Attempt::start(planned, address, now));
     }
 
     /// Waits for a fill in progress; after that, what earlier attempts asked for may be asked for again.
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -138,7 +138,7 @@
     }
 
     /// Writes or cancels an attempt whose connection is now established. In the meantime an endpoint may have started
-    /// draining, an object may have been invalidated, the idempotency window may have ended, or the client may have
+    /// draining or have moved to another address, an object may have been invalidated, the idempotency window may have ended, or the client may have
     /// closed its side. The attempt is therefore checked as if it were planned now, and cancelled if it would break a
     /// rule. A cancelled attempt never ran, but it counts towards the maximum number of attempts.
     fn attempt_connected(&mut self, id: u32, number: u8, now: Micros, actions: &mut Vec<Action>) {
@@ -173,6 +173,7 @@
         let idempotency = self.classes[pending.request.class].settings.idempotency;
         !(pending.answered || pending.half_closed)
             && accepts(attempt.endpoint)
+            && self.endpoints[attempt.endpoint].address == attempt.address
             && attempt.source.is_none_or(accepts)
             && self.freshness.latest_bound(now, &pending.request) <= attempt.known_bound
             && idempotency.allows_repeat(
